--- /dev/null
+++ b/src/main/java/larchridge/Choice.java
@@ -0,0 +1,795 @@
+package larchridge;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Random;
+import larchridge.state.Effect;
+import larchridge.state.Engine;
+import larchridge.state.Gen;
+import larchridge.state.Leg;
+import larchridge.state.Listing;
+import larchridge.state.Mode;
+import larchridge.state.Outcome;
+import larchridge.state.Report;
+import larchridge.state.Role;
+import larchridge.state.Span;
+import larchridge.state.Terms;
+import larchridge.state.Text;
+
+/**
+ * Every decision of one front: which reader reads a prompt, which writer writes its answer, and what to do when
+ * either fails. Callers make one instance a front and call the public methods below, one for each thing that can
+ * happen; the module acts by calling {@link Host}, the only interface that it knows. What it remembers sits in the
+ * plain holders of {@code larchridge.state}. {@link #advance} is the ordinary path of a generation;
+ * {@code docs/design.md} says where the rules come from. Times are milliseconds, work is counted in tokens.
+ */
+public final class Choice {
+    // The mechanism: thresholds of a reader's backlog, margin of the writers' mean, stand-in for the answer.
+    private static final double ALPHA_MS = 300;
+    private static final double BETA_MS = 1000;
+    private static final double Z_MARGIN = 1.05;
+    private static final double EXPECTED_SHARE_OF_MAX = 0.5;
+    private static final double FULL_MS = 2000;
+    private static final double FULL_WITH_REPORTS_MS = 300;
+    private static final double USABLE_MEMORY = 0.95;
+    private static final double NEAR_STREAMS_FACTOR = 1.3;
+    private static final double NEAR_STREAMS_MORE = 2;
+    // Speed before any engine was heard, and the least that is needed to believe one engine's own.
+    private static final double UNHEARD_MS_PER_TOK = 0.08;
+    private static final double BELIEVED_TOKS = 3000;
+    // Health.
+    private static final double OVERDUE_READ_MS = 400;
+    private static final double OVERDUE_WRITE_MS = 700;
+    private static final double OVERDUE_FACTOR = 3;
+    private static final double SUSPECT_FIRST_MS = 500;
+    private static final double SUSPECT_MOST_MS = 4000;
+    // Cold engines: the part of the stated budget that is used.
+    private static final double COLD_PART = 0.6;
+    private static final double SWEEP_MS = 20;
+    private static final double PROBE_EVERY_MS = 700;
+    private static final double REPORT_WEIGHT = 0.5;
+    private static final double ANSWER_EARLY_MS = 30;
+    private static final double TEXT_KEPT_MS = 300_000;
+
+    private final Host host;
+    private final Random random;
+    private final int maxLegs;
+    private final boolean mayCancel;
+    private final boolean mayProbe;
+    private final boolean maySendCopies;
+    private final boolean writersRead;
+    private final boolean probesForReports;
+    private final boolean listIsAsked;
+    private final double askEveryMs;
+    private final double comeBackMaxMs;
+    private final double releaseMs;
+    private final double coldMs;
+    private final double coldShare;
+    private final double tipMs;
+    private final String zone;
+
+    private final List<Engine> engines = new ArrayList<>();
+    private final List<Engine> readers = new ArrayList<>();
+    private final List<Engine> writers = new ArrayList<>();
+    private final List<Gen> open = new ArrayList<>();
+    private final List<Gen> waiting = new ArrayList<>();
+    private final LinkedHashSet<Text> texts = new LinkedHashSet<>();
+    /** Tokens of generations that are being read and have no writer yet. */
+    private double awaitingToks;
+    private boolean wakeSet;
+    private double askedMs;
+    private double beginMs = 100;
+
+    public Choice(Terms terms, Host host) {
+        this.host = host;
+        random = new Random(terms.seed);
+        maxLegs = terms.maxLegs;
+        mayCancel = terms.mayCancel;
+        mayProbe = terms.mayProbe;
+        maySendCopies = terms.maySendCopies;
+        writersRead = terms.writersRead;
+        probesForReports = !terms.reportsWithAnswers && terms.reportsWithProbes && terms.mayProbe;
+        listIsAsked = terms.listIsAsked;
+        askEveryMs = terms.askWithinMs * 0.4;
+        comeBackMaxMs = terms.comeBackMaxMs;
+        releaseMs = terms.releaseMs;
+        coldMs = terms.coldMs;
+        coldShare = terms.coldShare * terms.tipMultiple * COLD_PART;
+        tipMs = terms.tipMs;
+        zone = terms.zone;
+        if (listIsAsked) {
+            askList();
+        }
+    }
+
+    // ------------------------------------------------------------------ what can happen
+
+    public void arrived(Gen gen) {
+        open.add(gen);
+        touch(gen.session);
+        touch(gen.prefix);
+        advance(gen);
+        setWake();
+    }
+
+    public void readDone(Leg leg, int keptToks, Report report, boolean over) {
+        Gen gen = leg.gen;
+        heard(leg.engine, report);
+        leg.engine.readToks.add(host.now(), Math.max(gen.promptToks - keptToks, 32));
+        close(leg);
+        gen.over |= over;
+        if (gen.state == null) {
+            gen.state = leg;
+        }
+        if (gen.over || gen.begun || anyOut(gen, false)) {
+            // Danger: a read that ends after its generation would leave its state pinned.
+            letGo(gen);
+        } else {
+            dropOtherReads(gen, leg);
+            advance(gen);
+        }
+        admitWaiting();
+    }
+
+    public void begun(Leg leg) {
+        Gen gen = leg.gen;
+        heard(leg.engine, null);
+        leg.begun = true;
+        gen.begun = true;
+        gen.state = null;
+        beginMs += 0.05 * (host.now() - leg.sentMs - beginMs);
+        for (Leg other : gen.legs) {
+            if (other != leg && other.out) {
+                cancel(other);
+            }
+        }
+    }
+
+    public void ended(Leg leg, Outcome outcome, Report report, boolean over) {
+        Gen gen = leg.gen;
+        Engine engine = leg.engine;
+        leg.outcome = outcome;
+        close(leg);
+        gen.over |= over;
+        switch (outcome) {
+            case STREAMED, FAULT, NO_STATE -> heard(engine, report);
+            case FULL -> {
+                heard(engine, report);
+                engine.fullUntilMs = host.now() + (Double.isNaN(engine.othersToks) ? FULL_MS : FULL_WITH_REPORTS_MS);
+            }
+            case UNREACHABLE, CUT -> blame(engine);
+            default -> { }
+        }
+        if (outcome == Outcome.NO_STATE) {
+            gen.state = null;
+        }
+        if (gen.over) {
+            letGo(gen);
+        } else if (!gen.begun && gen.legsOut == 0) {
+            advance(gen);
+        }
+        admitWaiting();
+    }
+
+    public void departed(Gen gen) {
+        gen.over = true;
+        letGo(gen);
+    }
+
+    public void held(Gen gen, Engine engine, boolean holds) {
+        gen.placeHeld = holds ? engine : null;
+    }
+
+    public void probed(Engine engine, boolean answered, Report report) {
+        if (answered) {
+            heard(engine, report);
+        } else {
+            blame(engine);
+        }
+    }
+
+    /** A complete list counts as news of the end of every engine that it lacks. */
+    public void listed(List<Listing> entries, boolean complete) {
+        if (complete) {
+            for (Engine engine : engines) {
+                engine.mode = Mode.GONE;
+            }
+        }
+        for (Listing entry : entries) {
+            Engine engine = entry.engine();
+            if (!engines.contains(engine)) {
+                engines.add(engine);
+            } else if (engine.startMs != entry.startMs()) {
+                forgetProcess(engine);
+            }
+            engine.mode = entry.mode();
+            if (entry.mode() != Mode.GONE) {
+                engine.startMs = entry.startMs();
+                engine.units = entry.units() > 0 ? entry.units() : 1;
+                engine.zone = entry.zone();
+                engine.rack = entry.rack();
+                engine.role = entry.role();
+                engine.memoryToks = entry.memoryToks();
+            }
+        }
+        engines.removeIf(e -> e.mode == Mode.GONE && e.legs.isEmpty());
+        engines.sort(Comparator.comparingLong(e -> e.label));
+        readers.clear();
+        writers.clear();
+        for (Engine engine : engines) {
+            if (engine.mode == Mode.READY) {
+                (engine.role == Role.READER ? readers : writers).add(engine);
+            }
+        }
+        admitWaiting();
+    }
+
+    public void listFailed() {
+        askedMs = host.now() - askEveryMs + 500 + random.nextInt(500);
+        setWake();
+    }
+
+    public void woken() {
+        wakeSet = false;
+        double now = host.now();
+        if (listIsAsked && now - askedMs > askEveryMs) {
+            askList();
+        }
+        open.removeIf(gen -> gen.over && gen.legsOut == 0);
+        for (int i = 0; i < open.size(); i++) {
+            Gen gen = open.get(i);
+            if (!gen.over && !gen.begun) {
+                look(gen, now);
+            }
+        }
+        admitWaiting();
+        if (probesForReports && !open.isEmpty()) {
+            for (Engine engine : writers) {
+                if (now - engine.probedMs > PROBE_EVERY_MS) {
+                    engine.probedMs = now;
+                    host.probe(engine);
+                }
+            }
+        }
+        while (!texts.isEmpty() && texts.iterator().next().usedMs < now - TEXT_KEPT_MS) {
+            Text old = texts.iterator().next();
+            texts.remove(old);
+            host.forget(old);
+        }
+        setWake();
+    }
+
+    // ------------------------------------------------------------------ the ordinary path
+
+    /** Takes a generation with no leg out one step on: to a reader, to a writer, into the wait or to its end. */
+    private void advance(Gen gen) {
+        double now = host.now();
+        if (now >= gen.limitMs - ANSWER_EARLY_MS) {
+            giveUp(gen);
+            return;
+        }
+        if (gen.state != null && (gen.state.engine.mode != Mode.READY && gen.state.engine.mode != Mode.DRAINING
+                || gen.state.engine.startMs != gen.state.engineStartMs)) {
+            gen.state = null;
+        }
+        if (gen.state == null) {
+            if (gen.legs.size() + 2 > maxLegs) {
+                giveUp(gen);
+                return;
+            }
+            Engine reader = roomAnywhere(gen) ? pickReader(gen) : null;
+            if (reader == null) {
+                await(gen);
+                return;
+            }
+            sendRead(gen, reader);
+        } else {
+            Engine writer = gen.legs.size() < maxLegs ? pickWriter(gen) : null;
+            if (writer == null) {
+                giveUp(gen);
+                return;
+            }
+            sendWrite(gen, writer);
+        }
+    }
+
+    private Engine pickReader(Gen gen) {
+        double now = host.now();
+        List<Engine> fit = fit(readers, gen);
+        if (fit.isEmpty() && readers.isEmpty()) {
+            // Departure: with no reader on the list, an engine that can read for itself takes prompt and answer.
+            return pickSelfReader(gen);
+        }
+        Engine last = gen.session == null ? null : keeper(gen.session);
+        if (last != null && fit.contains(last) && backlogMs(last, now) <= ALPHA_MS) {
+            return last;
+        }
+        Engine hashed = gen.prefix == null ? null : hashed(gen.prefix, fit);
+        if (hashed != null && backlogMs(hashed, now) <= ALPHA_MS) {
+            return hashed;
+        }
+        Engine best = null;
+        boolean bestShort = false;
+        for (Engine engine : fit) {
+            double backlog = backlogMs(engine, now);
+            if (backlog > BETA_MS) {
+                continue;
+            }
+            boolean isShort = backlog <= ALPHA_MS;
+            if (best == null || isShort && !bestShort
+                    || isShort == bestShort && engine.unreadToks < best.unreadToks) {
+                best = engine;
+                bestShort = isShort;
+            }
+        }
+        return best;
+    }
+
+    private Engine pickWriter(Gen gen) {
+        List<Engine> fit = fit(writers, gen);
+        fit.removeIf(e -> !mayRunAt(gen, e));
+        List<Engine> roomy = new ArrayList<>();
+        double room = 0;
+        double toks = 0;
+        double units = 0;
+        for (Engine engine : fit) {
+            if (hasRoom(engine, gen)) {
+                roomy.add(engine);
+                room += Math.max(0, roomToks(engine));
+                toks += writerToks(engine);
+                units += engine.units;
+            }
+        }
+        if (roomy.isEmpty()) {
+            return fit.stream().min(Comparator.comparingDouble(e -> writerToks(e) / e.units)).orElse(null);
+        }
+        double z = Z_MARGIN * (Math.min(awaitingToks + genToks(gen), room) + toks) / units;
+        double fewest = Double.POSITIVE_INFINITY;
+        for (Engine engine : roomy) {
+            if (writerToks(engine) / engine.units <= z) {
+                fewest = Math.min(fewest, writerStreams(engine) / engine.units);
+            }
+        }
+        Engine best = null;
+        for (Engine engine : roomy) {
+            double streams = writerStreams(engine) / engine.units;
+            if (writerToks(engine) / engine.units > z
+                    || streams > fewest * NEAR_STREAMS_FACTOR + NEAR_STREAMS_MORE) {
+                continue;
+            }
+            if (best == null || distance(gen, engine) < distance(gen, best)
+                    || distance(gen, engine) == distance(gen, best) && streams < writerStreams(best) / best.units) {
+                best = engine;
+            }
+        }
+        if (best != null) {
+            return best;
+        }
+        return roomy.stream().min(Comparator.comparingDouble(e -> writerToks(e) / e.units)).orElse(null);
+    }
+
+    /** What a move of the read state costs: 0 within the rack, 1 within the zone, 2 across zones. */
+    private static int distance(Gen gen, Engine writer) {
+        Engine reader = gen.state.engine;
+        return !reader.zone.equals(writer.zone) ? 2 : reader.rack != writer.rack ? 1 : 0;
+    }
+
+    private Engine pickSelfReader(Gen gen) {
+        List<Engine> fit = fit(writers, gen);
+        fit.removeIf(e -> e.role != Role.BOTH && !writersRead || !mayRunAt(gen, e) || !hasRoom(e, gen));
+        return fit.stream().min(Comparator.comparingDouble(e -> writerToks(e) / e.units)).orElse(null);
+    }
+
+    // ------------------------------------------------------------------ waiting and giving up
+
+    private void await(Gen gen) {
+        if (!gen.waiting) {
+            gen.waiting = true;
+            waiting.add(gen);
+        }
+    }
+
+    private void admitWaiting() {
+        for (int i = 0; i < waiting.size(); i++) {
+            Gen gen = waiting.get(i);
+            if (gen.over) {
+                gen.waiting = false;
+            } else {
+                gen.waiting = false;
+                advance(gen);
+                if (gen.waiting) {
+                    waiting.remove(waiting.size() - 1);
+                    break;
+                }
+            }
+            waiting.remove(i--);
+        }
+    }
+
+    private void giveUp(Gen gen) {
+        for (Leg leg : gen.legs) {
+            if (leg.out) {
+                cancel(leg);
+            }
+        }
+        gen.over = true;
+        letGo(gen);
+        if (mayThrottle(gen)) {
+            host.throttle(gen, comeBackMaxMs <= 0 ? 0 : comeBackMaxMs * (0.3 + 0.7 * random.nextDouble()));
+        } else {
+            host.terminate(gen);
+        }
+    }
+
+    private void letGo(Gen gen) {
+        if (gen.state != null || gen.placeHeld != null) {
+            gen.state = null;
+            gen.placeHeld = null;
+            host.release(gen);
+        }
+    }
+
+    // ------------------------------------------------------------------ legs
+
+    private void sendRead(Gen gen, Engine reader) {
+        if (reader.role != Role.READER) {
+            sendWrite(gen, reader);
+            return;
+        }
+        double now = host.now();
+        markBusy(reader, now);
+        Leg leg = new Leg(gen, reader, true, now, readToks(gen, reader));
+        reader.unreadToks += leg.toks;
+        awaitingToks += genToks(gen);
+        leg.overdueMs = now + OVERDUE_READ_MS + OVERDUE_FACTOR * backlogMs(reader, now);
+        for (Text text : new Text[] {gen.session, gen.prefix}) {
+            if (text != null) {
+                text.lastReader = reader;
+                text.lastReaderStartMs = reader.startMs;
+            }
+        }
+        if (gen.session != null) {
+            gen.session.toks = gen.promptToks;
+        }
+        send(leg);
+    }
+
+    private void sendWrite(Gen gen, Engine writer) {
+        double now = host.now();
+        Leg leg = new Leg(gen, writer, false, now, genToks(gen));
+        writer.writeToks += leg.toks;
+        writer.streams++;
+        leg.overdueMs = now + OVERDUE_WRITE_MS + OVERDUE_FACTOR * beginMs;
+        send(leg);
+    }
+
+    private void send(Leg leg) {
+        Engine engine = leg.engine;
+        double now = host.now();
+        engine.sends.add(now, leg.toks);
+        if (isCold(engine, now)) {
+            engine.coldNextMs = Math.max(now, engine.coldNextMs) + leg.toks / coldToksPerMs(engine, leg.toks, now);
+        }
+        leg.gen.legs.add(leg);
+        leg.gen.legsOut++;
+        engine.legs.add(leg);
+        host.send(leg, 0);
+    }
+
+    private void close(Leg leg) {
+        if (!leg.out) {
+            return;
+        }
+        leg.out = false;
+        leg.gen.legsOut--;
+        Engine engine = leg.engine;
+        markBusy(engine, host.now());
+        engine.legs.remove(leg);
+        if (leg.read) {
+            engine.unreadToks = engine.legs.isEmpty() ? 0 : Math.max(0, engine.unreadToks - leg.toks);
+            awaitingToks = Math.max(0, awaitingToks - genToks(leg.gen));
+        } else {
+            engine.writeToks = engine.legs.isEmpty() ? 0 : Math.max(0, engine.writeToks - leg.toks);
+            engine.streams = Math.max(0, engine.streams - 1);
+        }
+    }
+
+    private void cancel(Leg leg) {
+        if (mayCancel && !leg.cancelled) {
+            leg.cancelled = true;
+            host.cancel(leg);
+        }
+    }
+
+    private void dropOtherReads(Gen gen, Leg done) {
+        for (Leg other : gen.legs) {
+            if (other != done && other.out && other.read) {
+                cancel(other);
+            }
+        }
+    }
+
+    private static boolean anyOut(Gen gen, boolean read) {
+        for (Leg leg : gen.legs) {
+            if (leg.out && leg.read == read && !leg.cancelled) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The regular look at a generation that has not begun to stream. */
+    private void look(Gen gen, double now) {
+        if (now >= gen.limitMs - ANSWER_EARLY_MS) {
+            giveUp(gen);
+            return;
+        }
+        if (gen.waiting) {
+            if (now > sloAtMs(gen) - beginMs) {
+                giveUp(gen);
+            }
+            return;
+        }
+        if (gen.legsOut == 0) {
+            advance(gen);
+            return;
+        }
+        for (int i = 0; i < gen.legs.size(); i++) {
+            Leg leg = gen.legs.get(i);
+            if (leg.out && !leg.overdue && now > leg.overdueMs) {
+                leg.overdue = true;
+                overdue(leg);
+            }
+        }
+    }
+
+    /** Danger: an engine that takes work and stays silent would keep it until the client leaves. */
+    private void overdue(Leg leg) {
+        Gen gen = leg.gen;
+        if (leg.engine.heardMs >= leg.sentMs || gen.product.effect != Effect.IDEMPOTENT || !mayCancel
+                || gen.legs.size() + (gen.state == null ? 2 : 1) > maxLegs || !maySendCopies) {
+            return;
+        }
+        blame(leg.engine);
+        cancel(leg);
+        advance(gen);
+    }
+
+    // ------------------------------------------------------------------ rules
+
+    /** Rule 2: whether one more leg to this writer could not repeat an effect. */
+    private boolean mayRunAt(Gen gen, Engine engine) {
+        if (gen.product.effect == Effect.IDEMPOTENT) {
+            return maySendCopies || gen.legsOut == 0;
+        }
+        if (gen.legsOut > 0) {
+            return false;
+        }
+        for (Leg leg : gen.legs) {
+            if (leg.read || leg.outcome != null && leg.outcome.neverRan) {
+                continue;
+            }
+            if (gen.product.effect == Effect.SIDE_EFFECTING || host.now() > leg.sentMs + 0.8 * gen.product.memoryMs
+                    || gen.product.span == Span.ZONE && !leg.engine.zone.equals(engine.zone)
+                    || gen.product.span == Span.RACK && leg.engine.rack != engine.rack) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean mayThrottle(Gen gen) {
+        if (gen.product.effect == Effect.IDEMPOTENT
+                || gen.product.effect == Effect.DEDUPLICATED && gen.product.span == Span.ALL) {
+            return true;
+        }
+        for (Leg leg : gen.legs) {
+            if (!leg.read && (leg.outcome == null || !leg.outcome.neverRan)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean isCold(Engine engine, double now) {
+        return engine.startMs > 0 && now < engine.startMs + coldMs;
+    }
+
+    /** Rule 4: this front's part of what a cold engine takes, from what it sends warm engines of that role. */
+    private double coldToksPerMs(Engine engine, double toks, double now) {
+        double sent = 0;
+        double units = 0;
+        for (Engine peer : engine.role == Role.READER ? readers : writers) {
+            if (!isCold(peer, now)) {
+                sent += peer.sends.sum(now);
+                units += peer.units;
+            }
+        }
+        double warm = units == 0 ? 0 : sent / units * engine.units / engine.sends.spanMs();
+        return Math.max(coldShare * warm, toks / tipMs);
+    }
+
+    // ------------------------------------------------------------------ what is known of engines
+
+    private List<Engine> fit(List<Engine> pool, Gen gen) {
+        double now = host.now();
+        List<Engine> fit = new ArrayList<>(pool.size());
+        boolean anySound = false;
+        for (Engine engine : pool) {
+            anySound |= isSound(engine, now);
+        }
+        for (Engine engine : pool) {
+            // All suspect = none suspect: doubt must never empty a pool.
+            if ((isSound(engine, now) || !anySound) && (!isCold(engine, now) || now >= engine.coldNextMs)) {
+                fit.add(engine);
+            }
+        }
+        return fit;
+    }
+
+    private boolean isSound(Engine engine, double now) {
+        return now >= engine.suspectUntilMs && (!engine.onTrial || engine.legs.isEmpty());
+    }
+
+    private void heard(Engine engine, Report report) {
+        double now = host.now();
+        engine.heardMs = now;
+        engine.suspectUntilMs = 0;
+        engine.suspectForMs = 0;
+        engine.onTrial = false;
+        if (report != null) {
+            engine.report = report;
+            engine.reportMs = now;
+            double toks = report.heldShare() * engine.memoryToks - engine.writeToks;
+            double streams = report.inflight() - engine.streams;
+            engine.othersToks += REPORT_WEIGHT * (Math.max(0, orZero(toks)) - engine.othersToks);
+            engine.othersStreams += REPORT_WEIGHT * (Math.max(0, orZero(streams)) - engine.othersStreams);
+        }
+    }
+
+    private void blame(Engine engine) {
+        double now = host.now();
+        if (now < engine.suspectUntilMs) {
+            return;
+        }
+        engine.suspectForMs = Math.min(SUSPECT_MOST_MS, Math.max(SUSPECT_FIRST_MS, 2 * engine.suspectForMs));
+        engine.suspectUntilMs = now + engine.suspectForMs * (0.75 + 0.5 * random.nextDouble());
+        engine.onTrial = true;
+    }
+
+    private void forgetProcess(Engine engine) {
+        engine.readToks.clear();
+        engine.busyMs.clear();
+        engine.sends.clear();
+        engine.othersToks = 0;
+        engine.othersStreams = 0;
+        engine.report = null;
+        engine.fullUntilMs = 0;
+        engine.suspectUntilMs = 0;
+        engine.suspectForMs = 0;
+        engine.onTrial = false;
+        engine.coldNextMs = 0;
+    }
+
+    private void markBusy(Engine engine, double now) {
+        if (engine.unreadToks > 0) {
+            engine.busyMs.add(now, now - engine.busyMarkMs);
+        }
+        engine.busyMarkMs = now;
+    }
+
+    /** Own unread tokens in time; never less than how long the engine has been silent over them. */
+    private double backlogMs(Engine engine, double now) {
+        if (engine.legs.isEmpty()) {
+            return 0;
+        }
+        double silent = now - Math.max(engine.heardMs, engine.legs.get(0).sentMs);
+        return Math.max(engine.unreadToks * msPerTok(engine, now), silent);
+    }
+
+    private double msPerTok(Engine engine, double now) {
+        double toks = engine.readToks.sum(now);
+        if (toks >= BELIEVED_TOKS) {
+            return engine.busyMs.sum(now) / toks;
+        }
+        double busy = 0;
+        toks = 0;
+        for (Engine peer : readers) {
+            busy += peer.busyMs.sum(now);
+            toks += peer.readToks.sum(now);
+        }
+        return toks >= BELIEVED_TOKS ? busy / toks : UNHEARD_MS_PER_TOK;
+    }
+
+    private double readToks(Gen gen, Engine reader) {
+        double kept = 0;
+        if (gen.prefix != null && keeper(gen.prefix) == reader) {
+            kept = gen.sharedToks;
+        }
+        if (gen.session != null && keeper(gen.session) == reader) {
+            kept = Math.max(kept, Math.min(gen.session.toks, gen.promptToks));
+        }
+        return Math.max(gen.promptToks - kept, 32);
+    }
+
+    private static Engine keeper(Text text) {
+        Engine engine = text.lastReader;
+        return engine != null && engine.startMs == text.lastReaderStartMs ? engine : null;
+    }
+
+    private static Engine hashed(Text prefix, List<Engine> pool) {
+        Engine best = null;
+        long most = 0;
+        for (Engine engine : pool) {
+            long mixed = (prefix.label.hashCode() * 0x9E3779B97F4A7C15L) ^ (engine.label * 0xC2B2AE3D27D4EB4FL);
+            mixed = (mixed ^ mixed >>> 31) * 0xD6E8FEB86659FD93L;
+            mixed ^= mixed >>> 32;
+            if (best == null || mixed > most) {
+                best = engine;
+                most = mixed;
+            }
+        }
+        return best;
+    }
+
+    private boolean roomAnywhere(Gen gen) {
+        for (Engine engine : writers) {
+            if (hasRoom(engine, gen)) {
+                return true;
+            }
+        }
+        return writers.isEmpty();
+    }
+
+    private boolean hasRoom(Engine engine, Gen gen) {
+        return host.now() >= engine.fullUntilMs && !(roomToks(engine) < genToks(gen));
+    }
+
+    /** NaN where the memory is not known. */
+    private double roomToks(Engine engine) {
+        return engine.memoryToks * USABLE_MEMORY - writerToks(engine);
+    }
+
+    private static double writerToks(Engine engine) {
+        return engine.writeToks + engine.othersToks;
+    }
+
+    private static double writerStreams(Engine engine) {
+        return engine.streams + engine.othersStreams;
+    }
+
+    private static double genToks(Gen gen) {
+        double out = Double.isNaN(gen.hintToks) ? EXPECTED_SHARE_OF_MAX * gen.maxToks : gen.hintToks;
+        return gen.promptToks + out;
+    }
+
+    private static double sloAtMs(Gen gen) {
+        return gen.arrivedMs + gen.product.sloMs + gen.product.sloMsPerTok * gen.promptToks;
+    }
+
+    private static double orZero(double value) {
+        return Double.isNaN(value) ? 0 : value;
+    }
+
+    private void touch(Text text) {
+        if (text != null) {
+            texts.remove(text);
+            text.usedMs = host.now();
+            texts.add(text);
+        }
+    }
+
+    private void askList() {
+        askedMs = host.now();
+        host.followList();
+    }
+
+    private void setWake() {
+        if (!wakeSet && (!open.isEmpty() || listIsAsked)) {
+            wakeSet = true;
+            host.wake(host.now() + SWEEP_MS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/Host.java
@@ -0,0 +1,43 @@
+package larchridge;
+
+import larchridge.state.Engine;
+import larchridge.state.Gen;
+import larchridge.state.Leg;
+import larchridge.state.Text;
+
+/** What the decision module can do to the world around it. Times are milliseconds. */
+public interface Host {
+    /** The clock; it stands still while the module handles one happening. */
+    double now();
+
+    /** Sends a leg; with timeoutMs 0 it ends when the client gives up. */
+    void send(Leg leg, double timeoutMs);
+
+    /** Stops waiting for a leg; its outcome still comes. */
+    void cancel(Leg leg);
+
+    /** Asks a writer to hold a place for a generation while its prompt is read. */
+    void hold(Gen gen, Engine writer);
+
+    /** Lets go of every state and place that is held for a generation and that no leg waits for. */
+    void release(Gen gen);
+
+    /** Final answer: not now, and trying again is harmless. With comeBackMs 0 there is no advice when. */
+    void throttle(Gen gen, double comeBackMs);
+
+    /** Final answer: failed, and nothing is promised of its effects. */
+    void terminate(Gen gen);
+
+    void probe(Engine engine);
+
+    /** Asks for {@link Choice#woken} at a time. */
+    void wake(double atMs);
+
+    /** Asks the engine list for its changes from now on. */
+    void followList();
+
+    /** Drops a text that the module no longer points to. */
+    void forget(Text text);
+
+    void log(String line);
+}
--- /dev/null
+++ b/src/main/java/larchridge/state/Gen.java
@@ -0,0 +1,48 @@
+package larchridge.state;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A generation: one prompt that is owed one final answer. */
+public final class Gen {
+    public final String label;
+    public final Product product;
+    public final Account account;
+    public final Text session;
+    public final Text prefix;
+    public final int promptToks;
+    public final int sharedToks;
+    public final int maxToks;
+    /** The hinted length of the answer, or NaN. */
+    public final double hintToks;
+    public final boolean resent;
+    public final double arrivedMs;
+    public final double limitMs;
+
+    public final List<Leg> legs = new ArrayList<>(3);
+    public int legsOut;
+    public boolean over;
+    public boolean begun;
+    /** The leg whose read state waits to be fetched, or null. */
+    public Leg state;
+    public Engine placeHeld;
+    public boolean waiting;
+    /** When a held state must have been sent or released. */
+    public double retryMs;
+
+    public Gen(String label, Product product, Account account, Text session, Text prefix, int promptToks,
+               int sharedToks, int maxToks, double hintToks, boolean resent, double arrivedMs, double limitMs) {
+        this.label = label;
+        this.product = product;
+        this.account = account;
+        this.session = session;
+        this.prefix = prefix;
+        this.promptToks = promptToks;
+        this.sharedToks = sharedToks;
+        this.maxToks = maxToks;
+        this.hintToks = hintToks;
+        this.resent = resent;
+        this.arrivedMs = arrivedMs;
+        this.limitMs = limitMs;
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/state/Product.java
@@ -0,0 +1,30 @@
+package larchridge.state;
+
+/** One kind of generation: what is promised for it, what it earns and whether it may run again. */
+public final class Product {
+    public final String name;
+    public final Effect effect;
+    public final Span span;
+    public final double memoryMs;
+    public final double revenue;
+    public final double lateRevenue;
+    public final double sloMs;
+    public final double sloMsPerTok;
+    public final double tokMs;
+    /** Sums over what has been seen of this product, for its mean prompt work and answer. */
+    public double seenGens;
+    public double seenReadToks;
+
+    public Product(String name, Effect effect, Span span, double memoryMs, double revenue, double lateRevenue,
+                   double sloMs, double sloMsPerTok, double tokMs) {
+        this.name = name;
+        this.effect = effect;
+        this.span = span;
+        this.memoryMs = memoryMs;
+        this.revenue = revenue;
+        this.lateRevenue = lateRevenue;
+        this.sloMs = sloMs;
+        this.sloMsPerTok = sloMsPerTok;
+        this.tokMs = tokMs;
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/state/Span.java
@@ -0,0 +1,4 @@
+package larchridge.state;
+
+/** The set of engines that drops repeats of a deduplicated generation. */
+public enum Span { ALL, ZONE, RACK }
--- /dev/null
+++ b/src/test/java/larchridge/ChoiceTest.java
@@ -0,0 +1,103 @@
+package larchridge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import larchridge.state.Effect;
+import larchridge.state.Engine;
+import larchridge.state.Gen;
+import larchridge.state.Leg;
+import larchridge.state.Mode;
+import larchridge.state.Outcome;
+import larchridge.state.Role;
+import larchridge.state.Span;
+import larchridge.state.Text;
+import org.junit.jupiter.api.Test;
+
+class ChoiceTest {
+    private final Stage stage = new Stage();
+    private final Choice choice = stage.start();
+
+    @Test
+    void takesTheReaderWithFewestTokens() {
+        Engine[] fleet = stage.fleet(2, 1);
+        fleet[0].unreadToks = 900;
+        choice.arrived(stage.gen("a"));
+        assertSame(fleet[1], stage.last().engine);
+    }
+
+    @Test
+    void prefersTheLastReaderOfTheSession() {
+        Engine[] fleet = stage.fleet(3, 1);
+        Text session = new Text("s");
+        session.lastReader = fleet[2];
+        choice.arrived(stage.gen("a", Stage.product(Effect.IDEMPOTENT, Span.ALL), session, 1000));
+        assertSame(fleet[2], stage.last().engine);
+    }
+
+    @Test
+    void picksTheWriterOnlyWhenTheReadEnds() {
+        Engine[] fleet = stage.fleet(1, 2);
+        choice.arrived(stage.gen("a"));
+        fleet[1].streams = 3;
+        choice.readDone(stage.last(), 0, null, false);
+        assertSame(fleet[2], stage.last().engine);
+    }
+
+    @Test
+    void readThatEndsAfterItsGenerationLeavesNothingPinned() {
+        stage.fleet(1, 1);
+        Gen gen = stage.gen("a");
+        choice.arrived(gen);
+        choice.departed(gen);
+        choice.readDone(stage.last(), 0, null, true);
+        assertTrue(stage.heardOf("release a"));
+        assertEquals(1, stage.sent.size());
+    }
+
+    @Test
+    void sideEffectingRunsNoSecondTime() {
+        stage.fleet(1, 2);
+        choice.arrived(stage.gen("a", Stage.product(Effect.SIDE_EFFECTING, Span.ALL), null, 1000));
+        choice.readDone(stage.last(), 0, null, false);
+        Leg write = stage.last();
+        choice.ended(write, Outcome.CUT, null, false);
+        assertSame(write, stage.last());
+        assertTrue(stage.heardOf("terminate a"));
+        assertFalse(stage.heardOf("throttle"));
+    }
+
+    @Test
+    void sendsNothingToAnEngineThatDrains() {
+        Engine[] fleet = stage.fleet(2, 1);
+        choice.listed(List.of(stage.listing(fleet[0], Role.READER, Mode.DRAINING, 0)), false);
+        choice.arrived(stage.gen("a"));
+        choice.arrived(stage.gen("b"));
+        assertTrue(stage.sent.stream().allMatch(leg -> leg.engine == fleet[1]));
+        assertEquals(2, stage.sent.size());
+    }
+
+    @Test
+    void coldEngineGetsItsPartOnly() {
+        Engine[] fleet = stage.fleet(1, 1);
+        choice.listed(List.of(stage.listing(fleet[0], Role.READER, Mode.READY, stage.now - 100)), false);
+        for (int i = 0; i < 20; i++) {
+            choice.arrived(stage.gen("g" + i));
+        }
+        assertEquals(1, stage.sent.size());
+    }
+
+    @Test
+    void finalAnswerComesBeforeTheTimeLimit() {
+        stage.fleet(1, 1);
+        Gen gen = stage.gen("a");
+        choice.arrived(gen);
+        stage.now = gen.limitMs - 1;
+        choice.woken();
+        assertTrue(gen.over);
+        assertTrue(stage.heardOf("throttle a"));
+    }
+}
