Count a read's own tokens when judging it overdue; release dropped states

Should also catch any slow but working reader; harms when a reader hangs with a long prompt (longer wait).

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -162,12 +162,10 @@
             case UNREACHABLE, CUT -> blame(engine);
             default -> { }
         }
-        if (outcome == Outcome.NO_STATE) {
-            gen.state = null;
-        }
-        if (gen.over) {
+        if (gen.over || outcome == Outcome.NO_STATE) {
             letGo(gen);
-        } else if (!gen.begun && gen.legsOut == 0) {
+        }
+        if (!gen.over && !gen.begun && gen.legsOut == 0) {
             advance(gen);
         }
         admitWaiting();
@@ -272,7 +270,7 @@
         }
         if (gen.state != null && (gen.state.engine.mode != Mode.READY && gen.state.engine.mode != Mode.DRAINING
                 || gen.state.engine.startMs != gen.state.engineStartMs)) {
-            gen.state = null;
+            letGo(gen);
         }
         if (gen.state == null) {
             if (gen.legs.size() + 2 > maxLegs) {
@@ -443,7 +441,7 @@
         Leg leg = new Leg(gen, reader, true, now, readToks(gen, reader));
         reader.unreadToks += leg.toks;
         awaitingToks += genToks(gen);
-        leg.overdueMs = now + OVERDUE_READ_MS + OVERDUE_FACTOR * backlogMs(reader, now);
+        leg.overdueMs = now + OVERDUE_READ_MS + OVERDUE_FACTOR * reader.unreadToks * msPerTok(reader, now);
         for (Text text : new Text[] {gen.session, gen.prefix}) {
             if (text != null) {
                 text.lastReader = reader;
--- a/src/test/java/larchridge/ChoiceTest.java
+++ b/src/test/java/larchridge/ChoiceTest.java
@@ -100,4 +100,25 @@
         assertTrue(gen.over);
         assertTrue(stage.heardOf("throttle a"));
     }
+
+    @Test
+    void stateOfAReaderThatLeftIsReleasedBeforeItIsReadAnew() {
+        Engine[] fleet = stage.fleet(2, 1);
+        Gen gen = stage.gen("a");
+        choice.arrived(gen);
+        Leg read = stage.last();
+        choice.listed(List.of(stage.listing(read.engine, Role.READER, Mode.GONE, 0)), false);
+        choice.readDone(read, 0, null, false);
+        assertTrue(stage.heardOf("release a"));
+        assertSame(read.engine == fleet[0] ? fleet[1] : fleet[0], stage.last().engine);
+    }
+
+    @Test
+    void longPromptAtAnIdleReaderIsNotOverdue() {
+        stage.fleet(2, 1);
+        choice.arrived(stage.gen("a", Stage.product(Effect.IDEMPOTENT, Span.ALL), null, 20_000));
+        stage.now += 1500;
+        choice.woken();
+        assertFalse(stage.heardOf("cancel"));
+    }
 }
