Under shortage serve revenue first and newest first, drop what cannot make its SLO time

Cause: first come, first served before overloaded readers made everyone just too late. Should also catch: lost capacity of any kind. May harm: a product of little revenue starves under long shortage. Plain sums over an engine's legs moved from the module to the state holders.

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -19,16 +19,16 @@
 import larchridge.state.Text;
 
 /**
- * Every decision of one front: which reader reads a prompt, which writer writes its answer, and what to do when
- * either fails. Callers make one instance a front and call the public methods below, one for each thing that can
- * happen; the module acts by calling {@link Host}, the only interface that it knows. What it remembers sits in the
- * plain holders of {@code larchridge.state}. {@link #advance} is the ordinary path of a generation;
- * {@code docs/design.md} says where the rules come from. Times are milliseconds, work is counted in tokens.
+ * Every decision of one front: which reader reads a prompt, which writer writes its answer, and what to do
+ * when either fails. Callers make one instance a front and call the public methods below, one for each thing
+ * that can happen; the module acts by calling {@link Host}, the only interface that it knows. What it
+ * remembers sits in the plain holders of {@code larchridge.state}. {@link #advance} is the ordinary path of a
+ * generation; {@code docs/design.md} tells where the rules come from. Times are in milliseconds.
  */
 public final class Choice {
     // The mechanism: thresholds of a reader's backlog, margin of the writers' mean, stand-in for the answer.
-    private static final double ALPHA_MS = 300;
-    private static final double BETA_MS = 1000;
+    private static final double ALPHA_MS = 250;
+    private static final double BETA_MS = 500;
     private static final double Z_MARGIN = 1.05;
     private static final double EXPECTED_SHARE_OF_MAX = 0.5;
     private static final double FULL_MS = 2000;
@@ -51,24 +51,23 @@
     private static final double PROBE_EVERY_MS = 700;
     private static final double REPORT_WEIGHT = 0.5;
     private static final double ANSWER_EARLY_MS = 30;
+    private static final double MEMORY_PART = 0.8;
     private static final double TEXT_KEPT_MS = 300_000;
 
     private final Host host;
     private final Random random;
+    private final int fronts;
     private final int maxLegs;
     private final boolean mayCancel;
-    private final boolean mayProbe;
     private final boolean maySendCopies;
     private final boolean writersRead;
     private final boolean probesForReports;
     private final boolean listIsAsked;
     private final double askEveryMs;
     private final double comeBackMaxMs;
-    private final double releaseMs;
     private final double coldMs;
     private final double coldShare;
     private final double tipMs;
-    private final String zone;
 
     private final List<Engine> engines = new ArrayList<>();
     private final List<Engine> readers = new ArrayList<>();
@@ -85,20 +84,18 @@
     public Choice(Terms terms, Host host) {
         this.host = host;
         random = new Random(terms.seed);
+        fronts = terms.fronts;
         maxLegs = terms.maxLegs;
         mayCancel = terms.mayCancel;
-        mayProbe = terms.mayProbe;
         maySendCopies = terms.maySendCopies;
         writersRead = terms.writersRead;
         probesForReports = !terms.reportsWithAnswers && terms.reportsWithProbes && terms.mayProbe;
         listIsAsked = terms.listIsAsked;
         askEveryMs = terms.askWithinMs * 0.4;
         comeBackMaxMs = terms.comeBackMaxMs;
-        releaseMs = terms.releaseMs;
         coldMs = terms.coldMs;
         coldShare = terms.coldShare * terms.tipMultiple * COLD_PART;
         tipMs = terms.tipMs;
-        zone = terms.zone;
         if (listIsAsked) {
             askList();
         }
@@ -108,6 +105,13 @@
 
     public void arrived(Gen gen) {
         open.add(gen);
+        if (gen.account != null) {
+            double share = gen.account.quotaPerSecond / fronts * gen.account.inShare.spanMs() / 1000;
+            gen.overShare = gen.account.inShare.sum(host.now()) >= share;
+            if (!gen.overShare) {
+                gen.account.inShare.add(host.now(), 1);
+            }
+        }
         touch(gen.session);
         touch(gen.prefix);
         advance(gen);
@@ -123,11 +127,11 @@
         if (gen.state == null) {
             gen.state = leg;
         }
-        if (gen.over || gen.begun || anyOut(gen, false)) {
+        if (gen.over || gen.begun || gen.writesOut() > 0) {
             // Danger: a read that ends after its generation would leave its state pinned.
             letGo(gen);
         } else {
-            dropOtherReads(gen, leg);
+            cancelOthers(leg);
             advance(gen);
         }
         admitWaiting();
@@ -140,11 +144,7 @@
         gen.begun = true;
         gen.state = null;
         beginMs += 0.05 * (host.now() - leg.sentMs - beginMs);
-        for (Leg other : gen.legs) {
-            if (other != leg && other.out) {
-                cancel(other);
-            }
-        }
+        cancelOthers(leg);
     }
 
     public void ended(Leg leg, Outcome outcome, Report report, boolean over) {
@@ -157,7 +157,7 @@
             case STREAMED, FAULT, NO_STATE -> heard(engine, report);
             case FULL -> {
                 heard(engine, report);
-                engine.fullUntilMs = host.now() + (Double.isNaN(engine.othersToks) ? FULL_MS : FULL_WITH_REPORTS_MS);
+                engine.fullUntilMs = host.now() + (engine.report == null ? FULL_MS : FULL_WITH_REPORTS_MS);
             }
             case UNREACHABLE, CUT -> blame(engine);
             default -> { }
@@ -176,10 +176,6 @@
         letGo(gen);
     }
 
-    public void held(Gen gen, Engine engine, boolean holds) {
-        gen.placeHeld = holds ? engine : null;
-    }
-
     public void probed(Engine engine, boolean answered, Report report) {
         if (answered) {
             heard(engine, report);
@@ -200,7 +196,7 @@
             if (!engines.contains(engine)) {
                 engines.add(engine);
             } else if (engine.startMs != entry.startMs()) {
-                forgetProcess(engine);
+                engine.forgetProcess();
             }
             engine.mode = entry.mode();
             if (entry.mode() != Mode.GONE) {
@@ -261,14 +257,14 @@
 
     // ------------------------------------------------------------------ the ordinary path
 
-    /** Takes a generation with no leg out one step on: to a reader, to a writer, into the wait or to its end. */
+    /** Takes a generation with no leg out one step on: to a reader, a writer, the wait or its end. */
     private void advance(Gen gen) {
         double now = host.now();
         if (now >= gen.limitMs - ANSWER_EARLY_MS) {
             giveUp(gen);
             return;
         }
-        if (gen.state != null && (gen.state.engine.mode != Mode.READY && gen.state.engine.mode != Mode.DRAINING
+        if (gen.state != null && (gen.state.engine.mode == Mode.GONE
                 || gen.state.engine.startMs != gen.state.engineStartMs)) {
             letGo(gen);
         }
@@ -297,10 +293,10 @@
         double now = host.now();
         List<Engine> fit = fit(readers, gen);
         if (fit.isEmpty() && readers.isEmpty()) {
-            // Departure: with no reader on the list, an engine that can read for itself takes prompt and answer.
+            // Departure: no reader on the list; one that reads for itself takes prompt and answer.
             return pickSelfReader(gen);
         }
-        Engine last = gen.session == null ? null : keeper(gen.session);
+        Engine last = gen.session == null ? null : gen.session.keeper();
         if (last != null && fit.contains(last) && backlogMs(last, now) <= ALPHA_MS) {
             return last;
         }
@@ -336,36 +332,36 @@
             if (hasRoom(engine, gen)) {
                 roomy.add(engine);
                 room += Math.max(0, roomToks(engine));
-                toks += writerToks(engine);
+                toks += engine.heldToks();
                 units += engine.units;
             }
         }
         if (roomy.isEmpty()) {
-            return fit.stream().min(Comparator.comparingDouble(e -> writerToks(e) / e.units)).orElse(null);
+            return fit.stream().min(Comparator.comparingDouble(Engine::toksPerUnit)).orElse(null);
         }
         double z = Z_MARGIN * (Math.min(awaitingToks + genToks(gen), room) + toks) / units;
         double fewest = Double.POSITIVE_INFINITY;
         for (Engine engine : roomy) {
-            if (writerToks(engine) / engine.units <= z) {
-                fewest = Math.min(fewest, writerStreams(engine) / engine.units);
+            if (engine.toksPerUnit() <= z) {
+                fewest = Math.min(fewest, engine.streamsPerUnit());
             }
         }
         Engine best = null;
         for (Engine engine : roomy) {
-            double streams = writerStreams(engine) / engine.units;
-            if (writerToks(engine) / engine.units > z
+            double streams = engine.streamsPerUnit();
+            if (engine.toksPerUnit() > z
                     || streams > fewest * NEAR_STREAMS_FACTOR + NEAR_STREAMS_MORE) {
                 continue;
             }
             if (best == null || distance(gen, engine) < distance(gen, best)
-                    || distance(gen, engine) == distance(gen, best) && streams < writerStreams(best) / best.units) {
+                    || distance(gen, engine) == distance(gen, best) && streams < best.streamsPerUnit()) {
                 best = engine;
             }
         }
         if (best != null) {
             return best;
         }
-        return roomy.stream().min(Comparator.comparingDouble(e -> writerToks(e) / e.units)).orElse(null);
+        return roomy.stream().min(Comparator.comparingDouble(Engine::toksPerUnit)).orElse(null);
     }
 
     /** What a move of the read state costs: 0 within the rack, 1 within the zone, 2 across zones. */
@@ -377,35 +373,62 @@
     private Engine pickSelfReader(Gen gen) {
         List<Engine> fit = fit(writers, gen);
         fit.removeIf(e -> e.role != Role.BOTH && !writersRead || !mayRunAt(gen, e) || !hasRoom(e, gen));
-        return fit.stream().min(Comparator.comparingDouble(e -> writerToks(e) / e.units)).orElse(null);
+        return fit.stream().min(Comparator.comparingDouble(Engine::toksPerUnit)).orElse(null);
     }
 
     // ------------------------------------------------------------------ waiting and giving up
 
     private void await(Gen gen) {
-        if (!gen.waiting) {
-            gen.waiting = true;
-            waiting.add(gen);
+        gen.waiting = true;
+        waiting.add(gen);
+        double least = gen.promptToks;
+        for (Engine reader : readers) {
+            least = Math.min(least, readToks(gen, reader));
         }
+        gen.leastReadMs = least * msPerTok(null, host.now());
     }
 
+    /**
+     * Danger: first come, first served under shortage serves everyone just too late. The most revenue for its
+     * work goes first, the newest first among equals, and what can no longer make its SLO time is given up.
+     */
     private void admitWaiting() {
-        for (int i = 0; i < waiting.size(); i++) {
-            Gen gen = waiting.get(i);
-            if (gen.over) {
-                gen.waiting = false;
-            } else {
-                gen.waiting = false;
-                advance(gen);
-                if (gen.waiting) {
-                    waiting.remove(waiting.size() - 1);
-                    break;
+        double now = host.now();
+        while (!waiting.isEmpty()) {
+            Gen best = null;
+            for (Gen gen : waiting) {
+                if (!gen.over && (best == null || rank(gen) >= rank(best))) {
+                    best = gen;
                 }
             }
-            waiting.remove(i--);
+            if (best == null) {
+                waiting.clear();
+                return;
+            }
+            best.waiting = false;
+            if (isHopeless(best, now)) {
+                waiting.remove(best);
+                giveUp(best);
+                continue;
+            }
+            int size = waiting.size();
+            advance(best);
+            if (best.waiting) {
+                waiting.remove(size);
+                return;
+            }
+            waiting.remove(best);
         }
     }
 
+    private static double rank(Gen gen) {
+        return gen.overShare ? 0 : gen.product.revenue;
+    }
+
+    private boolean isHopeless(Gen gen, double now) {
+        return now + gen.leastReadMs + beginMs > gen.sloAtMs();
+    }
+
     private void giveUp(Gen gen) {
         for (Leg leg : gen.legs) {
             if (leg.out) {
@@ -422,9 +445,8 @@
     }
 
     private void letGo(Gen gen) {
-        if (gen.state != null || gen.placeHeld != null) {
+        if (gen.state != null) {
             gen.state = null;
-            gen.placeHeld = null;
             host.release(gen);
         }
     }
@@ -437,11 +459,10 @@
             return;
         }
         double now = host.now();
-        markBusy(reader, now);
         Leg leg = new Leg(gen, reader, true, now, readToks(gen, reader));
-        reader.unreadToks += leg.toks;
         awaitingToks += genToks(gen);
-        leg.overdueMs = now + OVERDUE_READ_MS + OVERDUE_FACTOR * reader.unreadToks * msPerTok(reader, now);
+        double dueMs = (reader.unreadToks + leg.toks) * msPerTok(reader, now);
+        leg.overdueMs = now + OVERDUE_READ_MS + OVERDUE_FACTOR * dueMs;
         for (Text text : new Text[] {gen.session, gen.prefix}) {
             if (text != null) {
                 text.lastReader = reader;
@@ -457,8 +478,6 @@
     private void sendWrite(Gen gen, Engine writer) {
         double now = host.now();
         Leg leg = new Leg(gen, writer, false, now, genToks(gen));
-        writer.writeToks += leg.toks;
-        writer.streams++;
         leg.overdueMs = now + OVERDUE_WRITE_MS + OVERDUE_FACTOR * beginMs;
         send(leg);
     }
@@ -468,29 +487,16 @@
         double now = host.now();
         engine.sends.add(now, leg.toks);
         if (isCold(engine, now)) {
-            engine.coldNextMs = Math.max(now, engine.coldNextMs) + leg.toks / coldToksPerMs(engine, leg.toks, now);
+            double gapMs = leg.toks / coldToksPerMs(engine, leg.toks, now);
+            engine.coldNextMs = Math.max(now, engine.coldNextMs) + gapMs;
         }
-        leg.gen.legs.add(leg);
-        leg.gen.legsOut++;
-        engine.legs.add(leg);
+        leg.open(now);
         host.send(leg, 0);
     }
 
     private void close(Leg leg) {
-        if (!leg.out) {
-            return;
-        }
-        leg.out = false;
-        leg.gen.legsOut--;
-        Engine engine = leg.engine;
-        markBusy(engine, host.now());
-        engine.legs.remove(leg);
-        if (leg.read) {
-            engine.unreadToks = engine.legs.isEmpty() ? 0 : Math.max(0, engine.unreadToks - leg.toks);
+        if (leg.close(host.now()) && leg.read) {
             awaitingToks = Math.max(0, awaitingToks - genToks(leg.gen));
-        } else {
-            engine.writeToks = engine.legs.isEmpty() ? 0 : Math.max(0, engine.writeToks - leg.toks);
-            engine.streams = Math.max(0, engine.streams - 1);
         }
     }
 
@@ -501,23 +507,14 @@
         }
     }
 
-    private void dropOtherReads(Gen gen, Leg done) {
-        for (Leg other : gen.legs) {
-            if (other != done && other.out && other.read) {
+    private void cancelOthers(Leg kept) {
+        for (Leg other : kept.gen.legs) {
+            if (other != kept && other.out) {
                 cancel(other);
             }
         }
     }
 
-    private static boolean anyOut(Gen gen, boolean read) {
-        for (Leg leg : gen.legs) {
-            if (leg.out && leg.read == read && !leg.cancelled) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** The regular look at a generation that has not begun to stream. */
     private void look(Gen gen, double now) {
         if (now >= gen.limitMs - ANSWER_EARLY_MS) {
@@ -525,7 +522,7 @@
             return;
         }
         if (gen.waiting) {
-            if (now > sloAtMs(gen) - beginMs) {
+            if (isHopeless(gen, now)) {
                 giveUp(gen);
             }
             return;
@@ -569,7 +566,8 @@
             if (leg.read || leg.outcome != null && leg.outcome.neverRan) {
                 continue;
             }
-            if (gen.product.effect == Effect.SIDE_EFFECTING || host.now() > leg.sentMs + 0.8 * gen.product.memoryMs
+            if (gen.product.effect == Effect.SIDE_EFFECTING
+                    || host.now() > leg.sentMs + MEMORY_PART * gen.product.memoryMs
                     || gen.product.span == Span.ZONE && !leg.engine.zone.equals(engine.zone)
                     || gen.product.span == Span.RACK && leg.engine.rack != engine.rack) {
                 return false;
@@ -595,7 +593,7 @@
         return engine.startMs > 0 && now < engine.startMs + coldMs;
     }
 
-    /** Rule 4: this front's part of what a cold engine takes, from what it sends warm engines of that role. */
+    /** Rule 4: this front's part of what a cold engine takes, by what warm engines of its role get. */
     private double coldToksPerMs(Engine engine, double toks, double now) {
         double sent = 0;
         double units = 0;
@@ -657,27 +655,6 @@
         engine.onTrial = true;
     }
 
-    private void forgetProcess(Engine engine) {
-        engine.readToks.clear();
-        engine.busyMs.clear();
-        engine.sends.clear();
-        engine.othersToks = 0;
-        engine.othersStreams = 0;
-        engine.report = null;
-        engine.fullUntilMs = 0;
-        engine.suspectUntilMs = 0;
-        engine.suspectForMs = 0;
-        engine.onTrial = false;
-        engine.coldNextMs = 0;
-    }
-
-    private void markBusy(Engine engine, double now) {
-        if (engine.unreadToks > 0) {
-            engine.busyMs.add(now, now - engine.busyMarkMs);
-        }
-        engine.busyMarkMs = now;
-    }
-
     /** Own unread tokens in time; never less than how long the engine has been silent over them. */
     private double backlogMs(Engine engine, double now) {
         if (engine.legs.isEmpty()) {
@@ -688,7 +665,7 @@
     }
 
     private double msPerTok(Engine engine, double now) {
-        double toks = engine.readToks.sum(now);
+        double toks = engine == null ? 0 : engine.readToks.sum(now);
         if (toks >= BELIEVED_TOKS) {
             return engine.busyMs.sum(now) / toks;
         }
@@ -703,33 +680,17 @@
 
     private double readToks(Gen gen, Engine reader) {
         double kept = 0;
-        if (gen.prefix != null && keeper(gen.prefix) == reader) {
+        if (gen.prefix != null && gen.prefix.keeper() == reader) {
             kept = gen.sharedToks;
         }
-        if (gen.session != null && keeper(gen.session) == reader) {
+        if (gen.session != null && gen.session.keeper() == reader) {
             kept = Math.max(kept, Math.min(gen.session.toks, gen.promptToks));
         }
         return Math.max(gen.promptToks - kept, 32);
     }
 
-    private static Engine keeper(Text text) {
-        Engine engine = text.lastReader;
-        return engine != null && engine.startMs == text.lastReaderStartMs ? engine : null;
-    }
-
     private static Engine hashed(Text prefix, List<Engine> pool) {
-        Engine best = null;
-        long most = 0;
-        for (Engine engine : pool) {
-            long mixed = (prefix.label.hashCode() * 0x9E3779B97F4A7C15L) ^ (engine.label * 0xC2B2AE3D27D4EB4FL);
-            mixed = (mixed ^ mixed >>> 31) * 0xD6E8FEB86659FD93L;
-            mixed ^= mixed >>> 32;
-            if (best == null || mixed > most) {
-                best = engine;
-                most = mixed;
-            }
-        }
-        return best;
+        return pool.stream().max(Comparator.comparingLong(prefix::affinity)).orElse(null);
     }
 
     private boolean roomAnywhere(Gen gen) {
@@ -747,15 +708,7 @@
 
     /** NaN where the memory is not known. */
     private double roomToks(Engine engine) {
-        return engine.memoryToks * USABLE_MEMORY - writerToks(engine);
-    }
-
-    private static double writerToks(Engine engine) {
-        return engine.writeToks + engine.othersToks;
-    }
-
-    private static double writerStreams(Engine engine) {
-        return engine.streams + engine.othersStreams;
+        return engine.memoryToks * USABLE_MEMORY - engine.heldToks();
     }
 
     private static double genToks(Gen gen) {
@@ -763,10 +716,6 @@
         return gen.promptToks + out;
     }
 
-    private static double sloAtMs(Gen gen) {
-        return gen.arrivedMs + gen.product.sloMs + gen.product.sloMsPerTok * gen.promptToks;
-    }
-
     private static double orZero(double value) {
         return Double.isNaN(value) ? 0 : value;
     }
--- a/src/main/java/larchridge/Host.java
+++ b/src/main/java/larchridge/Host.java
@@ -16,9 +16,6 @@
     /** Stops waiting for a leg; its outcome still comes. */
     void cancel(Leg leg);
 
-    /** Asks a writer to hold a place for a generation while its prompt is read. */
-    void hold(Gen gen, Engine writer);
-
     /** Lets go of every state and place that is held for a generation and that no leg waits for. */
     void release(Gen gen);
 
--- a/src/main/java/larchridge/benchlink/Instance.java
+++ b/src/main/java/larchridge/benchlink/Instance.java
@@ -60,7 +60,6 @@
             case "TIMED_OUT_CLIENT" -> departed(line);
             case "BACKENDS_CHANGED" -> list(line);
             case "PROBED" -> probed(line);
-            case "HELD_NOTE" -> held(line);
             default -> { }
         }
     }
@@ -79,7 +78,8 @@
             call.run();
         } catch (RuntimeException e) {
             StackTraceElement[] trace = e.getStackTrace();
-            line("BROKEN").text(" message=").text(oneLine(e + (trace.length > 0 ? " at " + trace[0] : ""))).end();
+            String where = trace.length > 0 ? " at " + trace[0] : "";
+            line("BROKEN").text(" message=").text(oneLine(e + where)).end();
         }
     }
 
@@ -87,15 +87,16 @@
         String id = line.text("job");
         Product product = env.products.get(line.text("service"));
         if (product == null) {
-            throw line.bad("member service is '" + line.text("service") + "'; expected a name in request_classes");
+            throw line.bad("member service is '" + line.text("service")
+                    + "'; expected a name in request_classes");
         }
         Account account = env.accounts.get(line.textOr("tenant", ""));
         Text session = text(sessions, line.textOr("talk", null));
         Text prefix = text(prefixes, line.textOr("prefix", null));
         double hint = line.decimalOr("expected_s", Double.NaN) * 1000 / product.tokMs;
         Gen gen = new Gen(id, product, account, session, prefix, (int) line.wholeOr("n_prompt", 0),
-                (int) line.wholeOr("shared_len", 0), (int) line.wholeOr("n_max", 0), hint, line.flag("resent"),
-                nowMs, line.decimal("not_after_s") * 1000);
+                (int) line.wholeOr("shared_len", 0), (int) line.wholeOr("n_max", 0), hint,
+                line.flag("resent"), nowMs, line.decimal("not_after_s") * 1000);
         gens.put(id, gen);
         guarded(() -> choice.arrived(gen));
         letGo(id, gen);
@@ -153,15 +154,6 @@
         }
     }
 
-    private void held(Line line) throws BadLine {
-        Gen gen = gens.get(line.text("job"));
-        Engine engine = engines.get(line.whole("engine"));
-        if (gen != null && engine != null) {
-            boolean holds = line.whole("sort") == 1;
-            guarded(() -> choice.held(gen, engine, holds));
-        }
-    }
-
     private void probed(Line line) throws BadLine {
         Engine engine = engines.get(line.whole("engine"));
         if (engine != null) {
@@ -261,11 +253,6 @@
         line("CANCEL").text(" job=").text(leg.gen.label).text(" round_no=").whole(leg.number).end();
     }
 
-    @Override
-    public void hold(Gen gen, Engine writer) {
-        line("PAIR_EARLY").text(" job=").text(gen.label).text(" engine=").whole(writer.label).end();
-    }
-
     @Override
     public void release(Gen gen) {
         line("UNPIN").text(" job=").text(gen.label).end();
--- a/src/main/java/larchridge/state/Account.java
+++ b/src/main/java/larchridge/state/Account.java
@@ -4,7 +4,8 @@
 public final class Account {
     public final String name;
     public final double quotaPerSecond;
-    public final Ring arrivals = new Ring(10, 1000);
+    /** Generations of the last seconds that were within the share. */
+    public final Ring inShare = new Ring(10, 1000);
 
     public Account(String name, double quotaPerSecond) {
         this.name = name;
--- a/src/main/java/larchridge/state/Engine.java
+++ b/src/main/java/larchridge/state/Engine.java
@@ -45,4 +45,40 @@
     public Engine(long label) {
         this.label = label;
     }
+
+    /** Books the time since the last call in which this front had prompts there to read. */
+    public void settleBusy(double nowMs) {
+        if (unreadToks > 0) {
+            busyMs.add(nowMs, nowMs - busyMarkMs);
+        }
+        busyMarkMs = nowMs;
+    }
+
+    /** Tokens held there, as far as is known. */
+    public double heldToks() {
+        return writeToks + othersToks;
+    }
+
+    public double toksPerUnit() {
+        return heldToks() / units;
+    }
+
+    public double streamsPerUnit() {
+        return (streams + othersStreams) / units;
+    }
+
+    /** Drops what was learned of a process that has ended. */
+    public void forgetProcess() {
+        readToks.clear();
+        busyMs.clear();
+        sends.clear();
+        othersToks = 0;
+        othersStreams = 0;
+        report = null;
+        fullUntilMs = 0;
+        suspectUntilMs = 0;
+        suspectForMs = 0;
+        onTrial = false;
+        coldNextMs = 0;
+    }
 }
--- a/src/main/java/larchridge/state/Gen.java
+++ b/src/main/java/larchridge/state/Gen.java
@@ -25,13 +25,15 @@
     public boolean begun;
     /** The leg whose read state waits to be fetched, or null. */
     public Leg state;
-    public Engine placeHeld;
     public boolean waiting;
-    /** When a held state must have been sent or released. */
-    public double retryMs;
+    /** Whether its account had used up its share when it came. */
+    public boolean overShare;
+    /** The shortest time in which an idle reader could read it. */
+    public double leastReadMs;
 
     public Gen(String label, Product product, Account account, Text session, Text prefix, int promptToks,
-               int sharedToks, int maxToks, double hintToks, boolean resent, double arrivedMs, double limitMs) {
+               int sharedToks, int maxToks, double hintToks, boolean resent, double arrivedMs,
+               double limitMs) {
         this.label = label;
         this.product = product;
         this.account = account;
@@ -45,4 +47,19 @@
         this.arrivedMs = arrivedMs;
         this.limitMs = limitMs;
     }
+
+    public double sloAtMs() {
+        return arrivedMs + product.sloMs + product.sloMsPerTok * promptToks;
+    }
+
+    /** Legs at writers that are out and not called off. */
+    public int writesOut() {
+        int count = 0;
+        for (Leg leg : legs) {
+            if (leg.out && !leg.read && !leg.cancelled) {
+                count++;
+            }
+        }
+        return count;
+    }
 }
--- a/src/main/java/larchridge/state/Leg.java
+++ b/src/main/java/larchridge/state/Leg.java
@@ -27,4 +27,36 @@
         this.toks = toks;
         this.engineStartMs = engine.startMs;
     }
+
+    /** Counts this leg at its generation and engine. */
+    public void open(double nowMs) {
+        gen.legs.add(this);
+        gen.legsOut++;
+        engine.settleBusy(nowMs);
+        engine.legs.add(this);
+        if (read) {
+            engine.unreadToks += toks;
+        } else {
+            engine.writeToks += toks;
+            engine.streams++;
+        }
+    }
+
+    /** Takes this leg off the counts; false if that was done before. */
+    public boolean close(double nowMs) {
+        if (!out) {
+            return false;
+        }
+        out = false;
+        gen.legsOut--;
+        engine.settleBusy(nowMs);
+        engine.legs.remove(this);
+        if (read) {
+            engine.unreadToks = engine.legs.isEmpty() ? 0 : Math.max(0, engine.unreadToks - toks);
+        } else {
+            engine.writeToks = engine.legs.isEmpty() ? 0 : Math.max(0, engine.writeToks - toks);
+            engine.streams = Math.max(0, engine.streams - 1);
+        }
+        return true;
+    }
 }
--- a/src/test/java/larchridge/ChoiceTest.java
+++ b/src/test/java/larchridge/ChoiceTest.java
@@ -12,6 +12,7 @@
 import larchridge.state.Leg;
 import larchridge.state.Mode;
 import larchridge.state.Outcome;
+import larchridge.state.Product;
 import larchridge.state.Role;
 import larchridge.state.Span;
 import larchridge.state.Text;
@@ -121,4 +122,29 @@
         choice.woken();
         assertFalse(stage.heardOf("cancel"));
     }
+
+    @Test
+    void whatCanNoLongerMakeItsSloTimeIsGivenUpFromTheWait() {
+        Engine[] fleet = stage.fleet(1, 1);
+        choice.arrived(stage.gen("big", Stage.product(Effect.IDEMPOTENT, Span.ALL), null, 50_000));
+        Gen gen = stage.gen("a");
+        choice.arrived(gen);
+        stage.now += 1000;
+        choice.woken();
+        assertTrue(stage.heardOf("throttle a"));
+        assertEquals(1, fleet[0].legs.size());
+    }
+
+    @Test
+    void revenueGoesFirstWhenReadersAreShort() {
+        stage.fleet(1, 1);
+        choice.arrived(stage.gen("big", Stage.product(Effect.IDEMPOTENT, Span.ALL), null, 8_000));
+        Leg big = stage.last();
+        choice.arrived(stage.gen("cheap"));
+        Product dear = new Product("d", Effect.IDEMPOTENT, Span.ALL, 5000, 3, 0.1, 1000, 0.04, 60);
+        choice.arrived(stage.gen("dear", dear, null, 8_000));
+        stage.now += 300;
+        choice.readDone(big, 0, null, false);
+        assertEquals("dear", stage.sent.get(2).gen.label);
+    }
 }
--- a/src/test/java/larchridge/Stage.java
+++ b/src/test/java/larchridge/Stage.java
@@ -67,7 +67,8 @@
     }
 
     Gen gen(String label, Product product, Text session, int promptToks) {
-        return new Gen(label, product, null, session, null, promptToks, 0, 200, Double.NaN, false, now, now + 5000);
+        return new Gen(label, product, null, session, null, promptToks, 0, 200, Double.NaN, false, now,
+                now + 5000);
     }
 
     Leg last() {
@@ -94,11 +95,6 @@
         said.add("cancel " + leg.gen.label + " " + leg.number);
     }
 
-    @Override
-    public void hold(Gen gen, Engine writer) {
-        said.add("hold " + gen.label + " " + writer.label);
-    }
-
     @Override
     public void release(Gen gen) {
         said.add("release " + gen.label);
