Engines of both roles read for themselves while every reader is overloaded

Should also catch: a lost or slow reader pool. May harm: running answers slow down while a prompt is read.

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -141,6 +141,10 @@
         Gen gen = leg.gen;
         heard(leg.engine, null);
         leg.begun = true;
+        if (leg.unreadToks > 0) {
+            leg.engine.readToks.add(host.now(), leg.unreadToks);
+            leg.markRead(host.now());
+        }
         gen.begun = true;
         gen.state = null;
         beginMs += 0.05 * (host.now() - leg.sentMs - beginMs);
@@ -292,10 +296,6 @@
     private Engine pickReader(Gen gen) {
         double now = host.now();
         List<Engine> fit = fit(readers, gen);
-        if (fit.isEmpty() && readers.isEmpty()) {
-            // Departure: no reader on the list; one that reads for itself takes prompt and answer.
-            return pickSelfReader(gen);
-        }
         Engine last = gen.session == null ? null : gen.session.keeper();
         if (last != null && fit.contains(last) && backlogMs(last, now) <= ALPHA_MS) {
             return last;
@@ -318,7 +318,8 @@
                 bestShort = isShort;
             }
         }
-        return best;
+        // Departure: every reader is overloaded or away; one that reads for itself takes prompt and answer.
+        return best != null ? best : pickSelfReader(gen);
     }
 
     private Engine pickWriter(Gen gen) {
@@ -372,7 +373,8 @@
 
     private Engine pickSelfReader(Gen gen) {
         List<Engine> fit = fit(writers, gen);
-        fit.removeIf(e -> e.role != Role.BOTH && !writersRead || !mayRunAt(gen, e) || !hasRoom(e, gen));
+        fit.removeIf(e -> e.role != Role.BOTH && !writersRead || !mayRunAt(gen, e) || !hasRoom(e, gen)
+                || backlogMs(e, host.now()) > ALPHA_MS);
         return fit.stream().min(Comparator.comparingDouble(Engine::toksPerUnit)).orElse(null);
     }
 
@@ -454,15 +456,13 @@
     // ------------------------------------------------------------------ legs
 
     private void sendRead(Gen gen, Engine reader) {
-        if (reader.role != Role.READER) {
-            sendWrite(gen, reader);
-            return;
-        }
         double now = host.now();
-        Leg leg = new Leg(gen, reader, true, now, readToks(gen, reader));
-        awaitingToks += genToks(gen);
-        double dueMs = (reader.unreadToks + leg.toks) * msPerTok(reader, now);
-        leg.overdueMs = now + OVERDUE_READ_MS + OVERDUE_FACTOR * dueMs;
+        double unread = readToks(gen, reader);
+        boolean alone = reader.role != Role.READER;
+        Leg leg = new Leg(gen, reader, !alone, now, alone ? genToks(gen) : unread, unread);
+        awaitingToks += alone ? 0 : genToks(gen);
+        double dueMs = (reader.unreadToks + unread) * msPerTok(reader, now);
+        leg.overdueMs = now + (alone ? OVERDUE_WRITE_MS : OVERDUE_READ_MS) + OVERDUE_FACTOR * dueMs;
         for (Text text : new Text[] {gen.session, gen.prefix}) {
             if (text != null) {
                 text.lastReader = reader;
@@ -477,7 +477,7 @@
 
     private void sendWrite(Gen gen, Engine writer) {
         double now = host.now();
-        Leg leg = new Leg(gen, writer, false, now, genToks(gen));
+        Leg leg = new Leg(gen, writer, false, now, genToks(gen), 0);
         leg.overdueMs = now + OVERDUE_WRITE_MS + OVERDUE_FACTOR * beginMs;
         send(leg);
     }
@@ -657,10 +657,11 @@
 
     /** Own unread tokens in time; never less than how long the engine has been silent over them. */
     private double backlogMs(Engine engine, double now) {
-        if (engine.legs.isEmpty()) {
+        double since = engine.unreadSinceMs();
+        if (Double.isNaN(since)) {
             return 0;
         }
-        double silent = now - Math.max(engine.heardMs, engine.legs.get(0).sentMs);
+        double silent = now - Math.max(engine.heardMs, since);
         return Math.max(engine.unreadToks * msPerTok(engine, now), silent);
     }
 
--- a/src/main/java/larchridge/state/Engine.java
+++ b/src/main/java/larchridge/state/Engine.java
@@ -54,6 +54,16 @@
         busyMarkMs = nowMs;
     }
 
+    /** When the oldest leg with an unread prompt was sent there; NaN if there is none. */
+    public double unreadSinceMs() {
+        for (Leg leg : legs) {
+            if (leg.unreadToks > 0) {
+                return leg.sentMs;
+            }
+        }
+        return Double.NaN;
+    }
+
     /** Tokens held there, as far as is known. */
     public double heldToks() {
         return writeToks + othersToks;
--- a/src/main/java/larchridge/state/Leg.java
+++ b/src/main/java/larchridge/state/Leg.java
@@ -9,6 +9,8 @@
     public final double sentMs;
     /** What this leg was counted at on its engine: prompt tokens to read, or tokens to hold. */
     public final double toks;
+    /** Prompt tokens that are still to be read there for it. */
+    public double unreadToks;
     /** The start of the engine's process this leg went to. */
     public final double engineStartMs;
     public double overdueMs;
@@ -18,13 +20,14 @@
     public boolean begun;
     public Outcome outcome;
 
-    public Leg(Gen gen, Engine engine, boolean read, double sentMs, double toks) {
+    public Leg(Gen gen, Engine engine, boolean read, double sentMs, double toks, double unreadToks) {
         this.gen = gen;
         this.engine = engine;
         this.number = gen.legs.size();
         this.read = read;
         this.sentMs = sentMs;
         this.toks = toks;
+        this.unreadToks = unreadToks;
         this.engineStartMs = engine.startMs;
     }
 
@@ -34,14 +37,20 @@
         gen.legsOut++;
         engine.settleBusy(nowMs);
         engine.legs.add(this);
-        if (read) {
-            engine.unreadToks += toks;
-        } else {
+        engine.unreadToks += unreadToks;
+        if (!read) {
             engine.writeToks += toks;
             engine.streams++;
         }
     }
 
+    /** Takes its prompt off what is unread there. */
+    public void markRead(double nowMs) {
+        engine.settleBusy(nowMs);
+        engine.unreadToks = Math.max(0, engine.unreadToks - unreadToks);
+        unreadToks = 0;
+    }
+
     /** Takes this leg off the counts; false if that was done before. */
     public boolean close(double nowMs) {
         if (!out) {
@@ -49,11 +58,9 @@
         }
         out = false;
         gen.legsOut--;
-        engine.settleBusy(nowMs);
+        markRead(nowMs);
         engine.legs.remove(this);
-        if (read) {
-            engine.unreadToks = engine.legs.isEmpty() ? 0 : Math.max(0, engine.unreadToks - toks);
-        } else {
+        if (!read) {
             engine.writeToks = engine.legs.isEmpty() ? 0 : Math.max(0, engine.writeToks - toks);
             engine.streams = Math.max(0, engine.streams - 1);
         }
