--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -31,6 +31,7 @@
     private static final double BETA_MS = 500;
     private static final double Z_MARGIN = 1.05;
     private static final double EXPECTED_SHARE_OF_MAX = 0.5;
+    private static final double SELF_READ_SHARE = 0.6;
     private static final double FULL_MS = 2000;
     private static final double FULL_WITH_REPORTS_MS = 300;
     private static final double USABLE_MEMORY = 0.95;
@@ -374,7 +375,7 @@
     private Engine pickSelfReader(Gen gen) {
         List<Engine> fit = fit(writers, gen);
         fit.removeIf(e -> e.role != Role.BOTH && !writersRead || !mayRunAt(gen, e) || !hasRoom(e, gen)
-                || backlogMs(e, host.now()) > ALPHA_MS);
+                || e.unreadToks > 0 || e.busyMs.sum(host.now()) > SELF_READ_SHARE / fronts * e.busyMs.spanMs());
         return fit.stream().min(Comparator.comparingDouble(Engine::toksPerUnit)).orElse(null);
     }
 
