--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -58,6 +58,7 @@
     private final Host host;
     private final Random random;
     private final int fronts;
+    private final String zone;
     private final int maxLegs;
     private final boolean mayCancel;
     private final boolean maySendCopies;
@@ -86,6 +87,7 @@
         this.host = host;
         random = new Random(terms.seed);
         fronts = terms.fronts;
+        zone = terms.zone;
         maxLegs = terms.maxLegs;
         mayCancel = terms.mayCancel;
         maySendCopies = terms.maySendCopies;
@@ -301,6 +303,12 @@
         if (last != null && fit.contains(last) && backlogMs(last, now) <= ALPHA_MS) {
             return last;
         }
+        // Departure: short readers of the own zone come before the others, which cost a crossing.
+        List<Engine> near = new ArrayList<>(fit);
+        near.removeIf(e -> !e.zone.equals(zone) || backlogMs(e, now) > ALPHA_MS);
+        if (!near.isEmpty()) {
+            fit = near;
+        }
         Engine hashed = gen.prefix == null ? null : hashed(gen.prefix, fit);
         if (hashed != null && backlogMs(hashed, now) <= ALPHA_MS) {
             return hashed;
