--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -172,7 +172,7 @@
         if (gen.over || outcome == Outcome.NO_STATE) {
             letGo(gen);
         }
-        if (!gen.over && !gen.begun && gen.legsOut == 0) {
+        if (!gen.over && !gen.begun && !gen.waiting && gen.legsOut == 0) {
             advance(gen);
         }
         admitWaiting();
@@ -180,6 +180,7 @@
 
     public void departed(Gen gen) {
         gen.over = true;
+        leaveWait(gen);
         letGo(gen);
     }
 
@@ -267,6 +268,8 @@
     /** Takes a generation with no leg out one step on: to a reader, a writer, the wait or its end. */
     private void advance(Gen gen) {
         double now = host.now();
+        // Danger: a generation that waits twice is sent twice, and the second send drops its state.
+        leaveWait(gen);
         if (now >= gen.limitMs - ANSWER_EARLY_MS) {
             giveUp(gen);
             return;
@@ -408,27 +411,25 @@
         while (!waiting.isEmpty()) {
             Gen best = null;
             for (Gen gen : waiting) {
-                if (!gen.over && (best == null || rank(gen) >= rank(best))) {
+                if (best == null || rank(gen) >= rank(best)) {
                     best = gen;
                 }
             }
-            if (best == null) {
-                waiting.clear();
-                return;
-            }
-            best.waiting = false;
             if (isHopeless(best, now)) {
-                waiting.remove(best);
                 giveUp(best);
                 continue;
             }
-            int size = waiting.size();
             advance(best);
             if (best.waiting) {
-                waiting.remove(size);
                 return;
             }
-            waiting.remove(best);
+        }
+    }
+
+    private void leaveWait(Gen gen) {
+        if (gen.waiting) {
+            gen.waiting = false;
+            waiting.remove(gen);
         }
     }
 
@@ -447,6 +448,7 @@
             }
         }
         gen.over = true;
+        leaveWait(gen);
         letGo(gen);
         if (mayThrottle(gen)) {
             host.throttle(gen, comeBackMaxMs <= 0 ? 0 : comeBackMaxMs * (0.3 + 0.7 * random.nextDouble()));
--- a/src/test/java/larchridge/ChoiceTest.java
+++ b/src/test/java/larchridge/ChoiceTest.java
@@ -147,4 +147,25 @@
         choice.readDone(big, 0, null, false);
         assertEquals("dear", stage.sent.get(2).gen.label);
     }
+
+    @Test
+    void generationThatWaitsAgainIsSentOnce() {
+        Engine[] fleet = stage.fleet(2, 2);
+        fleet[1].unreadToks = 50_000;
+        Gen gen = stage.gen("a");
+        choice.arrived(gen);
+        Leg silent = stage.last();
+        choice.arrived(stage.gen("b"));
+        fleet[1].legs.add(new Leg(stage.gen("x"), fleet[1], true, stage.now, 50_000, 50_000));
+        stage.now += 700;
+        choice.woken();
+        choice.ended(silent, Outcome.CANCELLED, null, false);
+        fleet[1].legs.clear();
+        choice.woken();
+        Leg read = stage.last();
+        assertSame(gen, read.gen);
+        int before = stage.sent.size();
+        choice.readDone(read, 0, null, false);
+        assertEquals(before + 1, stage.sent.size());
+    }
 }
