New generations wait unless the writers have room for all that is being read

Room is now counted over all writers, less what every front has under way. Should also catch lost writers and slow moves. May harm: waits too early where fronts carry unequal traffic.

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -705,13 +705,15 @@
         return pool.stream().max(Comparator.comparingLong(prefix::affinity)).orElse(null);
     }
 
+    /** Room for this one beside all that is being read; every front is taken to read as much as this one. */
     private boolean roomAnywhere(Gen gen) {
+        double room = writers.isEmpty() ? Double.NaN : 0;
         for (Engine engine : writers) {
             if (hasRoom(engine, gen)) {
-                return true;
+                room += roomToks(engine);
             }
         }
-        return writers.isEmpty();
+        return !(room < awaitingToks * fronts + genToks(gen));
     }
 
     private boolean hasRoom(Engine engine, Gen gen) {
--- a/src/test/java/larchridge/ChoiceTest.java
+++ b/src/test/java/larchridge/ChoiceTest.java
@@ -168,4 +168,14 @@
         choice.readDone(read, 0, null, false);
         assertEquals(before + 1, stage.sent.size());
     }
+
+    @Test
+    void newGenerationsWaitWhileTheWritersHaveNoRoomForWhatIsRead() {
+        Engine[] fleet = stage.fleet(2, 1);
+        fleet[2].othersToks = 0.95 * 200_000 - 4000;
+        for (int i = 0; i < 5; i++) {
+            choice.arrived(stage.gen("g" + i));
+        }
+        assertEquals(2, stage.sent.size());
+    }
 }
