Count a prompt's own tokens when comparing readers; a long last reader beats reading all anew

Cause: under shortage sessions were read anew at other readers, which spent the readers on text kept elsewhere.

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -301,7 +301,8 @@
 
     private Engine pickReader(Gen gen) {
         double now = host.now();
-        List<Engine> fit = fit(readers, gen);
+        List<Engine> all = fit(readers, gen);
+        List<Engine> fit = all;
         Engine last = gen.session == null ? null : gen.session.keeper();
         if (last != null && fit.contains(last) && backlogMs(last, now) <= ALPHA_MS) {
             return last;
@@ -317,19 +318,24 @@
             return hashed;
         }
         Engine best = null;
+        double bestToks = 0;
         boolean bestShort = false;
         for (Engine engine : fit) {
             double backlog = backlogMs(engine, now);
-            if (backlog > BETA_MS) {
-                continue;
-            }
             boolean isShort = backlog <= ALPHA_MS;
-            if (best == null || isShort && !bestShort
-                    || isShort == bestShort && engine.unreadToks < best.unreadToks) {
+            double toks = engine.unreadToks + readToks(gen, engine);
+            if (backlog <= BETA_MS && (best == null || isShort && !bestShort
+                    || isShort == bestShort && toks < bestToks)) {
                 best = engine;
+                bestToks = toks;
                 bestShort = isShort;
             }
         }
+        // Departure: a last reader that is not short still wins where reading all anew takes more tokens.
+        if (last != null && all.contains(last) && backlogMs(last, now) <= BETA_MS
+                && (best == null || last.unreadToks + readToks(gen, last) < bestToks)) {
+            return last;
+        }
         // Departure: every reader is overloaded or away; one that reads for itself takes prompt and answer.
         return best != null ? best : pickSelfReader(gen);
     }
