--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -32,6 +32,7 @@
     private static final double Z_MARGIN = 1.05;
     private static final double EXPECTED_SHARE_OF_MAX = 0.5;
     private static final double SELF_READ_SHARE = 0.6;
+    private static final double READ_BASE_TOKS = 200;
     private static final double FULL_MS = 2000;
     private static final double FULL_WITH_REPORTS_MS = 300;
     private static final double USABLE_MEMORY = 0.95;
@@ -59,6 +60,7 @@
     private final Random random;
     private final int fronts;
     private final String zone;
+    private final double overShareRevenue;
     private final int maxLegs;
     private final boolean mayCancel;
     private final boolean maySendCopies;
@@ -88,6 +90,7 @@
         random = new Random(terms.seed);
         fronts = terms.fronts;
         zone = terms.zone;
+        overShareRevenue = terms.overShareRevenue;
         maxLegs = terms.maxLegs;
         mayCancel = terms.mayCancel;
         maySendCopies = terms.maySendCopies;
@@ -401,11 +404,10 @@
     private void await(Gen gen) {
         gen.waiting = true;
         waiting.add(gen);
-        double least = gen.promptToks;
+        gen.leastReadToks = gen.promptToks;
         for (Engine reader : readers) {
-            least = Math.min(least, readToks(gen, reader));
+            gen.leastReadToks = Math.min(gen.leastReadToks, readToks(gen, reader));
         }
-        gen.leastReadMs = least * msPerTok(null, host.now());
     }
 
     /**
@@ -439,12 +441,14 @@
         }
     }
 
-    private static double rank(Gen gen) {
-        return gen.overShare ? 0 : gen.product.revenue;
+    /** Revenue, which goes by work, for each token that the readers must read for it. */
+    private double rank(Gen gen) {
+        double revenue = gen.product.revenue * genToks(gen) * (gen.overShare ? overShareRevenue : 1);
+        return revenue / (gen.leastReadToks + READ_BASE_TOKS);
     }
 
     private boolean isHopeless(Gen gen, double now) {
-        return now + gen.leastReadMs + beginMs > gen.sloAtMs();
+        return now + gen.leastReadToks * msPerTok(null, now) + beginMs > gen.sloAtMs();
     }
 
     private void giveUp(Gen gen) {
--- a/src/main/java/larchridge/state/Gen.java
+++ b/src/main/java/larchridge/state/Gen.java
@@ -28,8 +28,8 @@
     public boolean waiting;
     /** Whether its account had used up its share when it came. */
     public boolean overShare;
-    /** The shortest time in which an idle reader could read it. */
-    public double leastReadMs;
+    /** The fewest tokens that any reader must read for it. */
+    public double leastReadToks;
 
     public Gen(String label, Product product, Account account, Text session, Text prefix, int promptToks,
                int sharedToks, int maxToks, double hintToks, boolean resent, double arrivedMs,
