--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -120,6 +120,13 @@
         }
         touch(gen.session);
         touch(gen.prefix);
+        // Danger: a client's retry looks like fresh work, though its SLO time runs from the first try.
+        if (gen.session != null && gen.session.askedToks == gen.promptToks) {
+            gen.firstTryMs = gen.session.firstTryMs;
+        } else if (gen.session != null) {
+            gen.session.askedToks = gen.promptToks;
+            gen.session.firstTryMs = gen.firstTryMs;
+        }
         advance(gen);
         setWake();
     }
@@ -443,7 +450,8 @@
 
     /** Revenue, which goes by work, for each token that the readers must read for it. */
     private double rank(Gen gen) {
-        double revenue = gen.product.revenue * genToks(gen) * (gen.overShare ? overShareRevenue : 1);
+        double revenue = gen.product.revenue * genToks(gen) * (gen.overShare ? overShareRevenue : 1)
+                * (gen.resent ? gen.product.lateRevenue : 1);
         return revenue / (gen.leastReadToks + READ_BASE_TOKS);
     }
 
--- a/src/main/java/larchridge/state/Gen.java
+++ b/src/main/java/larchridge/state/Gen.java
@@ -26,6 +26,8 @@
     /** The leg whose read state waits to be fetched, or null. */
     public Leg state;
     public boolean waiting;
+    /** When its client asked first, as far as is known. */
+    public double firstTryMs;
     /** Whether its account had used up its share when it came. */
     public boolean overShare;
     /** The fewest tokens that any reader must read for it. */
@@ -46,10 +48,11 @@
         this.resent = resent;
         this.arrivedMs = arrivedMs;
         this.limitMs = limitMs;
+        this.firstTryMs = arrivedMs;
     }
 
     public double sloAtMs() {
-        return arrivedMs + product.sloMs + product.sloMsPerTok * promptToks;
+        return firstTryMs + product.sloMs + product.sloMsPerTok * promptToks;
     }
 
     /** Legs at writers that are out and not called off. */
--- a/src/main/java/larchridge/state/Text.java
+++ b/src/main/java/larchridge/state/Text.java
@@ -7,6 +7,9 @@
     /** Which start of that reader's process the text went to. */
     public double lastReaderStartMs;
     public int toks;
+    /** The newest prompt of a session, and when it was asked first. */
+    public int askedToks;
+    public double firstTryMs;
     public double usedMs;
 
     public Text(String label) {
--- a/src/test/java/larchridge/ChoiceTest.java
+++ b/src/test/java/larchridge/ChoiceTest.java
@@ -178,4 +178,15 @@
         }
         assertEquals(2, stage.sent.size());
     }
+
+    @Test
+    void retryKeepsTheSloTimeOfItsFirstTry() {
+        stage.fleet(1, 1);
+        Text session = new Text("s");
+        choice.arrived(stage.gen("first", Stage.product(Effect.IDEMPOTENT, Span.ALL), session, 20_000));
+        stage.now += 1500;
+        Gen retry = stage.gen("retry", Stage.product(Effect.IDEMPOTENT, Span.ALL), session, 20_000);
+        choice.arrived(retry);
+        assertEquals(stage.now - 1500, retry.firstTryMs);
+    }
 }
