--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -450,9 +450,9 @@
 
     /** Revenue, which goes by work, for each token that the readers must read for it. */
     private double rank(Gen gen) {
-        double revenue = gen.product.revenue * genToks(gen) * (gen.overShare ? overShareRevenue : 1)
+        double revenue = gen.product.revenue * (gen.overShare ? overShareRevenue : 1)
                 * (gen.resent ? gen.product.lateRevenue : 1);
-        return Math.getExponent(revenue / (gen.leastReadToks + READ_BASE_TOKS));
+        return revenue;
     }
 
     private boolean isHopeless(Gen gen, double now) {
