--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -341,10 +341,11 @@
                 bestShort = isShort;
             }
         }
-        // Departure: a last reader that is not short still wins where reading all anew takes more tokens.
-        if (last != null && all.contains(last) && backlogMs(last, now) <= BETA_MS
+        // Departure: a last reader that is not short still wins where reading all anew takes more tokens,
+        // and is waited for while overloaded. Danger: text read anew elsewhere doubles the work under load.
+        if (last != null && all.contains(last)
                 && (best == null || last.unreadToks + readToks(gen, last) < bestToks)) {
-            return last;
+            return backlogMs(last, now) <= BETA_MS ? last : null;
         }
         // Departure: every reader is overloaded or away; one that reads for itself takes prompt and answer.
         return best != null ? best : pickSelfReader(gen);
@@ -422,21 +423,13 @@
      * work goes first, the newest first among equals, and what can no longer make its SLO time is given up.
      */
     private void admitWaiting() {
-        double now = host.now();
-        while (!waiting.isEmpty()) {
-            Gen best = null;
-            for (Gen gen : waiting) {
-                if (best == null || rank(gen) >= rank(best)) {
-                    best = gen;
-                }
-            }
-            if (isHopeless(best, now)) {
-                giveUp(best);
-                continue;
-            }
-            advance(best);
-            if (best.waiting) {
-                return;
+        List<Gen> order = new ArrayList<>(waiting);
+        order.sort(Comparator.comparingDouble(this::rank).thenComparingDouble(g -> g.arrivedMs).reversed());
+        for (Gen gen : order) {
+            if (isHopeless(gen, host.now())) {
+                giveUp(gen);
+            } else {
+                advance(gen);
             }
         }
     }
