--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -32,7 +32,7 @@
     private static final double Z_MARGIN = 1.05;
     private static final double EXPECTED_SHARE_OF_MAX = 0.5;
     private static final double SELF_READ_SHARE = 0.6;
-    private static final double READ_BASE_TOKS = 200;
+    private static final double LEAST_READ_TOKS = 32;
     private static final double FULL_MS = 2000;
     private static final double FULL_WITH_REPORTS_MS = 300;
     private static final double USABLE_MEMORY = 0.95;
@@ -134,7 +134,7 @@
     public void readDone(Leg leg, int keptToks, Report report, boolean over) {
         Gen gen = leg.gen;
         heard(leg.engine, report);
-        leg.engine.readToks.add(host.now(), Math.max(gen.promptToks - keptToks, 32));
+        leg.engine.readToks.add(host.now(), Math.max(gen.promptToks - keptToks, LEAST_READ_TOKS));
         close(leg);
         gen.over |= over;
         if (gen.state == null) {
@@ -214,7 +214,7 @@
             if (!engines.contains(engine)) {
                 engines.add(engine);
             } else if (engine.startMs != entry.startMs()) {
-                engine.forgetProcess();
+                engine.forgetProcess(host.now());
             }
             engine.mode = entry.mode();
             if (entry.mode() != Mode.GONE) {
@@ -485,14 +485,11 @@
         awaitingToks += alone ? 0 : genToks(gen);
         double dueMs = (reader.unreadToks + unread) * msPerTok(reader, now);
         leg.overdueMs = now + (alone ? OVERDUE_WRITE_MS : OVERDUE_READ_MS) + OVERDUE_FACTOR * dueMs;
-        for (Text text : new Text[] {gen.session, gen.prefix}) {
-            if (text != null) {
-                text.lastReader = reader;
-                text.lastReaderStartMs = reader.startMs;
-            }
-        }
         if (gen.session != null) {
-            gen.session.toks = gen.promptToks;
+            gen.session.sentTo(reader, gen.promptToks, now);
+        }
+        if (gen.prefix != null) {
+            gen.prefix.sentTo(reader, gen.sharedToks, now);
         }
         send(leg);
     }
@@ -702,14 +699,9 @@
     }
 
     private double readToks(Gen gen, Engine reader) {
-        double kept = 0;
-        if (gen.prefix != null && gen.prefix.keeper() == reader) {
-            kept = gen.sharedToks;
-        }
-        if (gen.session != null && gen.session.keeper() == reader) {
-            kept = Math.max(kept, Math.min(gen.session.toks, gen.promptToks));
-        }
-        return Math.max(gen.promptToks - kept, 32);
+        int kept = Math.max(gen.prefix == null ? 0 : Math.min(gen.prefix.toksAt(reader), gen.sharedToks),
+                gen.session == null ? 0 : Math.min(gen.session.toksAt(reader), gen.promptToks));
+        return Math.max(gen.promptToks - kept, LEAST_READ_TOKS);
     }
 
     private static Engine hashed(Text prefix, List<Engine> pool) {
--- a/src/main/java/larchridge/state/Engine.java
+++ b/src/main/java/larchridge/state/Engine.java
@@ -38,6 +38,9 @@
     public boolean onTrial;
     public double heardMs = Double.NEGATIVE_INFINITY;
 
+    /** Texts sent there before this are no longer kept. */
+    public double textsSinceMs = Double.NEGATIVE_INFINITY;
+
     /** Sends of the last seconds, weighed by work; the rate that cold engines are measured against. */
     public final Ring sends = new Ring(10, 1000);
     public double coldNextMs;
@@ -78,7 +81,8 @@
     }
 
     /** Drops what was learned of a process that has ended. */
-    public void forgetProcess() {
+    public void forgetProcess(double nowMs) {
+        textsSinceMs = nowMs;
         readToks.clear();
         busyMs.clear();
         sends.clear();
--- a/src/main/java/larchridge/state/Text.java
+++ b/src/main/java/larchridge/state/Text.java
@@ -1,24 +1,46 @@
 package larchridge.state;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /** A text that readers may have kept: a session's prompts so far, or a beginning that sessions share. */
 public final class Text {
     public final String label;
-    public Engine lastReader;
-    /** Which start of that reader's process the text went to. */
-    public double lastReaderStartMs;
-    public int toks;
+    public double usedMs;
     /** The newest prompt of a session, and when it was asked first. */
     public int askedToks;
     public double firstTryMs;
-    public double usedMs;
+    private final List<Copy> copies = new ArrayList<>(2);
+
+    private record Copy(Engine engine, double sentMs, int toks) { }
 
     public Text(String label) {
         this.label = label;
     }
 
-    /** The engine that read this text last, or null if its process has ended since. */
+    /** Notes that this many tokens of the text go to an engine, which is its last reader from now on. */
+    public void sentTo(Engine engine, int toks, double nowMs) {
+        copies.removeIf(copy -> copy.engine == engine || copy.sentMs < copy.engine.textsSinceMs);
+        copies.add(new Copy(engine, nowMs, toks));
+    }
+
+    /** How much of it an engine was sent since it last lost its texts. */
+    public int toksAt(Engine engine) {
+        for (Copy copy : copies) {
+            if (copy.engine == engine && copy.sentMs >= engine.textsSinceMs) {
+                return copy.toks;
+            }
+        }
+        return 0;
+    }
+
+    /** The engine that read this text last, or null if that has lost its texts since. */
     public Engine keeper() {
-        return lastReader != null && lastReader.startMs == lastReaderStartMs ? lastReader : null;
+        if (copies.isEmpty()) {
+            return null;
+        }
+        Copy last = copies.get(copies.size() - 1);
+        return last.sentMs >= last.engine.textsSinceMs ? last.engine : null;
     }
 
     /** A fixed figure for this text and an engine, alike at every front. */
--- a/src/test/java/larchridge/ChoiceTest.java
+++ b/src/test/java/larchridge/ChoiceTest.java
@@ -34,7 +34,7 @@
     void prefersTheLastReaderOfTheSession() {
         Engine[] fleet = stage.fleet(3, 1);
         Text session = new Text("s");
-        session.lastReader = fleet[2];
+        session.sentTo(fleet[2], 500, stage.now);
         choice.arrived(stage.gen("a", Stage.product(Effect.IDEMPOTENT, Span.ALL), session, 1000));
         assertSame(fleet[2], stage.last().engine);
     }
@@ -189,4 +189,25 @@
         choice.arrived(retry);
         assertEquals(stage.now - 1500, retry.firstTryMs);
     }
+
+    @Test
+    void sessionWaitsForItsReaderRatherThanBeReadAnewElsewhere() {
+        Engine[] fleet = stage.fleet(2, 1);
+        Text session = new Text("s");
+        session.sentTo(fleet[0], 9_000, stage.now);
+        new Leg(stage.gen("x"), fleet[0], true, stage.now, 7_000, 7_000).open(stage.now);
+        choice.arrived(stage.gen("a", Stage.product(Effect.IDEMPOTENT, Span.ALL), session, 9_500));
+        assertTrue(stage.sent.isEmpty());
+        assertFalse(stage.heardOf("throttle"));
+    }
+
+    @Test
+    void prefixCountsAsKeptAtEveryReaderItWentTo() {
+        Engine[] fleet = stage.fleet(2, 1);
+        Text text = new Text("t");
+        text.sentTo(fleet[0], 900, 1);
+        text.sentTo(fleet[1], 900, 2);
+        assertEquals(900, text.toksAt(fleet[0]));
+        assertSame(fleet[1], text.keeper());
+    }
 }
