--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -32,6 +32,9 @@
     private static final double Z_MARGIN = 1.05;
     private static final double EXPECTED_SHARE_OF_MAX = 0.5;
     private static final double SELF_READ_SHARE = 0.6;
+    private static final double FORGOT_SHARE = 0.1;
+    private static final double FORGOT_TOKS = 500;
+    private static final int FORGOT_MISSES = 2;
     private static final double LEAST_READ_TOKS = 32;
     private static final double FULL_MS = 2000;
     private static final double FULL_WITH_REPORTS_MS = 300;
@@ -134,6 +137,15 @@
     public void readDone(Leg leg, int keptToks, Report report, boolean over) {
         Gen gen = leg.gen;
         heard(leg.engine, report);
+        // Danger: an engine that forgot its texts goes on drawing the sessions that it no longer keeps.
+        double expected = gen.promptToks - leg.toks;
+        if (expected > FORGOT_TOKS) {
+            leg.engine.misses = keptToks > FORGOT_SHARE * expected ? 0 : leg.engine.misses + 1;
+            if (leg.engine.misses >= FORGOT_MISSES) {
+                leg.engine.misses = 0;
+                leg.engine.textsSinceMs = leg.sentMs;
+            }
+        }
         leg.engine.readToks.add(host.now(), Math.max(gen.promptToks - keptToks, LEAST_READ_TOKS));
         close(leg);
         gen.over |= over;
