--- a/src/main/java/larchridge/state/Engine.java
+++ b/src/main/java/larchridge/state/Engine.java
@@ -41,9 +41,6 @@
     /** Texts sent there before this are no longer kept. */
     public double textsSinceMs = Double.NEGATIVE_INFINITY;
 
-    /** Reads in a row that found nothing of the text that was to be kept there. */
-    public int misses;
-
     /** Sends of the last seconds, weighed by work; the rate that cold engines are measured against. */
     public final Ring sends = new Ring(10, 1000);
     public double coldNextMs;
