--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -32,9 +32,6 @@
     private static final double Z_MARGIN = 1.05;
     private static final double EXPECTED_SHARE_OF_MAX = 0.5;
     private static final double SELF_READ_SHARE = 0.6;
-    private static final double FOUND_SHARE = 0.5;
-    private static final double FOUND_TOKS = 300;
-    private static final double SETTLED_MS = 1000;
     private static final double LEAST_READ_TOKS = 32;
     private static final double FULL_MS = 2000;
     private static final double FULL_WITH_REPORTS_MS = 300;
@@ -137,11 +134,6 @@
     public void readDone(Leg leg, int keptToks, Report report, boolean over) {
         Gen gen = leg.gen;
         heard(leg.engine, report);
-        // Danger: an engine that dropped old texts, or all, goes on drawing the sessions that it kept.
-        if (keptToks < FOUND_SHARE * (gen.promptToks - leg.toks) - FOUND_TOKS
-                && leg.sentMs > leg.keptSinceMs + SETTLED_MS) {
-            leg.engine.textsSinceMs = Math.max(leg.engine.textsSinceMs, leg.keptSinceMs + 1);
-        }
         leg.engine.readToks.add(host.now(), Math.max(gen.promptToks - keptToks, LEAST_READ_TOKS));
         close(leg);
         gen.over |= over;
@@ -490,8 +482,6 @@
         double unread = readToks(gen, reader);
         boolean alone = reader.role != Role.READER;
         Leg leg = new Leg(gen, reader, !alone, now, alone ? genToks(gen) : unread, unread);
-        leg.keptSinceMs = Math.min(gen.prefix == null ? now : gen.prefix.sentMsTo(reader, now),
-                gen.session == null ? now : gen.session.sentMsTo(reader, now));
         awaitingToks += alone ? 0 : genToks(gen);
         double dueMs = (reader.unreadToks + unread) * msPerTok(reader, now);
         leg.overdueMs = now + (alone ? OVERDUE_WRITE_MS : OVERDUE_READ_MS) + OVERDUE_FACTOR * dueMs;
--- a/src/main/java/larchridge/state/Leg.java
+++ b/src/main/java/larchridge/state/Leg.java
@@ -13,8 +13,6 @@
     public double unreadToks;
     /** The start of the engine's process this leg went to. */
     public final double engineStartMs;
-    /** When the oldest text that its reader should have kept for it was sent there. */
-    public double keptSinceMs;
     public double overdueMs;
     public boolean out = true;
     public boolean cancelled;
--- a/src/main/java/larchridge/state/Text.java
+++ b/src/main/java/larchridge/state/Text.java
@@ -34,15 +34,6 @@
         return 0;
     }
 
-    public double sentMsTo(Engine engine, double otherwise) {
-        for (Copy copy : copies) {
-            if (copy.engine == engine && copy.sentMs >= engine.textsSinceMs) {
-                return copy.sentMs;
-            }
-        }
-        return otherwise;
-    }
-
     /** The engine that read this text last, or null if that has lost its texts since. */
     public Engine keeper() {
         if (copies.isEmpty()) {
