Judge silence at any time, guard effects for reads too, forget restarted engines always; trim the module

A leg is called off when its engine has been silent for the leg's patience, also after it was once heard. Effects are guarded for every send, reads included. A list failure alone makes a front ask again.

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -1,6 +1,7 @@
 package larchridge;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -52,6 +53,7 @@
     private static final double SWEEP_MS = 20;
     private static final double PROBE_EVERY_MS = 700;
     private static final double REPORT_WEIGHT = 0.5;
+    private static final double ASK_AGAIN_MS = 500;
     private static final double ANSWER_EARLY_MS = 30;
     private static final double MEMORY_PART = 0.8;
     private static final double TEXT_KEPT_MS = 300_000;
@@ -66,8 +68,6 @@
     private final boolean maySendCopies;
     private final boolean writersRead;
     private final boolean probesForReports;
-    private final boolean listIsAsked;
-    private final double askEveryMs;
     private final double comeBackMaxMs;
     private final double coldMs;
     private final double coldShare;
@@ -82,7 +82,7 @@
     /** Tokens of generations that are being read and have no writer yet. */
     private double awaitingToks;
     private boolean wakeSet;
-    private double askedMs;
+    private double askAtMs = Double.POSITIVE_INFINITY;
     private double beginMs = 100;
 
     public Choice(Terms terms, Host host) {
@@ -96,14 +96,12 @@
         maySendCopies = terms.maySendCopies;
         writersRead = terms.writersRead;
         probesForReports = !terms.reportsWithAnswers && terms.reportsWithProbes && terms.mayProbe;
-        listIsAsked = terms.listIsAsked;
-        askEveryMs = terms.askWithinMs * 0.4;
         comeBackMaxMs = terms.comeBackMaxMs;
         coldMs = terms.coldMs;
         coldShare = terms.coldShare * terms.tipMultiple * COLD_PART;
         tipMs = terms.tipMs;
-        if (listIsAsked) {
-            askList();
+        if (terms.listIsAsked) {
+            host.followList();
         }
     }
 
@@ -144,7 +142,7 @@
             // Danger: a read that ends after its generation would leave its state pinned.
             letGo(gen);
         } else {
-            cancelOthers(leg);
+            cancelOthers(gen, leg);
             advance(gen);
         }
         admitWaiting();
@@ -153,7 +151,6 @@
     public void begun(Leg leg) {
         Gen gen = leg.gen;
         heard(leg.engine, null);
-        leg.begun = true;
         if (leg.unreadToks > 0) {
             leg.engine.readToks.add(host.now(), leg.unreadToks);
             leg.markRead(host.now());
@@ -161,7 +158,7 @@
         gen.begun = true;
         gen.state = null;
         beginMs += 0.05 * (host.now() - leg.sentMs - beginMs);
-        cancelOthers(leg);
+        cancelOthers(gen, leg);
     }
 
     public void ended(Leg leg, Outcome outcome, Report report, boolean over) {
@@ -213,17 +210,15 @@
             Engine engine = entry.engine();
             if (!engines.contains(engine)) {
                 engines.add(engine);
-            } else if (engine.startMs != entry.startMs()) {
-                engine.forgetProcess(host.now());
             }
-            engine.mode = entry.mode();
-            if (entry.mode() != Mode.GONE) {
-                engine.startMs = entry.startMs();
-                engine.units = entry.units() > 0 ? entry.units() : 1;
-                engine.zone = entry.zone();
-                engine.rack = entry.rack();
-                engine.role = entry.role();
-                engine.memoryToks = entry.memoryToks();
+            if (entry.mode() == Mode.GONE) {
+                engine.mode = Mode.GONE;
+            } else {
+                // Danger: a new process under an old id keeps nothing of what the old one was known for.
+                if (engine.startMs != entry.startMs()) {
+                    engine.forgetProcess(host.now());
+                }
+                engine.take(entry);
             }
         }
         engines.removeIf(e -> e.mode == Mode.GONE && e.legs.isEmpty());
@@ -239,15 +234,16 @@
     }
 
     public void listFailed() {
-        askedMs = host.now() - askEveryMs + 500 + random.nextInt(500);
+        askAtMs = host.now() + ASK_AGAIN_MS * (1 + random.nextDouble());
         setWake();
     }
 
     public void woken() {
         wakeSet = false;
         double now = host.now();
-        if (listIsAsked && now - askedMs > askEveryMs) {
-            askList();
+        if (now >= askAtMs) {
+            askAtMs = Double.POSITIVE_INFINITY;
+            host.followList();
         }
         open.removeIf(gen -> gen.over && gen.legsOut == 0);
         for (int i = 0; i < open.size(); i++) {
@@ -323,9 +319,11 @@
         if (!near.isEmpty()) {
             fit = near;
         }
-        Engine hashed = gen.prefix == null ? null : hashed(gen.prefix, fit);
-        if (hashed != null && backlogMs(hashed, now) <= ALPHA_MS) {
-            return hashed;
+        if (gen.prefix != null && !fit.isEmpty()) {
+            Engine hashed = Collections.max(fit, Comparator.comparingLong(gen.prefix::affinity));
+            if (backlogMs(hashed, now) <= ALPHA_MS) {
+                return hashed;
+            }
         }
         Engine best = null;
         double bestToks = 0;
@@ -353,7 +351,6 @@
 
     private Engine pickWriter(Gen gen) {
         List<Engine> fit = fit(writers, gen);
-        fit.removeIf(e -> !mayRunAt(gen, e));
         List<Engine> roomy = new ArrayList<>();
         double room = 0;
         double toks = 0;
@@ -367,44 +364,35 @@
             }
         }
         if (roomy.isEmpty()) {
-            return fit.stream().min(Comparator.comparingDouble(Engine::toksPerUnit)).orElse(null);
+            return fewestToks(fit);
         }
         double z = Z_MARGIN * (Math.min(awaitingToks + genToks(gen), room) + toks) / units;
-        double fewest = Double.POSITIVE_INFINITY;
-        for (Engine engine : roomy) {
-            if (engine.toksPerUnit() <= z) {
-                fewest = Math.min(fewest, engine.streamsPerUnit());
-            }
+        List<Engine> norm = new ArrayList<>(roomy);
+        norm.removeIf(e -> e.toksPerUnit() > z);
+        if (norm.isEmpty()) {
+            return fewestToks(roomy);
         }
-        Engine best = null;
-        for (Engine engine : roomy) {
-            double streams = engine.streamsPerUnit();
-            if (engine.toksPerUnit() > z
-                    || streams > fewest * NEAR_STREAMS_FACTOR + NEAR_STREAMS_MORE) {
-                continue;
-            }
-            if (best == null || distance(gen, engine) < distance(gen, best)
-                    || distance(gen, engine) == distance(gen, best) && streams < best.streamsPerUnit()) {
-                best = engine;
-            }
-        }
-        if (best != null) {
-            return best;
-        }
-        return roomy.stream().min(Comparator.comparingDouble(Engine::toksPerUnit)).orElse(null);
+        // Departure: among those at or under Z with about the fewest streams, the nearest to the state.
+        double fewest = norm.stream().mapToDouble(Engine::streamsPerUnit).min().getAsDouble();
+        norm.removeIf(e -> e.streamsPerUnit() > fewest * NEAR_STREAMS_FACTOR + NEAR_STREAMS_MORE);
+        return Collections.min(norm, Comparator.comparingInt((Engine e) -> distance(gen.state.engine, e))
+                .thenComparingDouble(Engine::streamsPerUnit));
+    }
+
+    private static Engine fewestToks(List<Engine> pool) {
+        return pool.stream().min(Comparator.comparingDouble(Engine::toksPerUnit)).orElse(null);
     }
 
     /** What a move of the read state costs: 0 within the rack, 1 within the zone, 2 across zones. */
-    private static int distance(Gen gen, Engine writer) {
-        Engine reader = gen.state.engine;
+    private static int distance(Engine reader, Engine writer) {
         return !reader.zone.equals(writer.zone) ? 2 : reader.rack != writer.rack ? 1 : 0;
     }
 
     private Engine pickSelfReader(Gen gen) {
         List<Engine> fit = fit(writers, gen);
-        fit.removeIf(e -> e.role != Role.BOTH && !writersRead || !mayRunAt(gen, e) || !hasRoom(e, gen)
-                || e.unreadToks > 0 || e.busyMs.sum(host.now()) > SELF_READ_SHARE / fronts * e.busyMs.spanMs());
-        return fit.stream().min(Comparator.comparingDouble(Engine::toksPerUnit)).orElse(null);
+        fit.removeIf(e -> e.role != Role.BOTH && !writersRead || !hasRoom(e, gen) || e.unreadToks > 0
+                || e.busyMs.sum(host.now()) > SELF_READ_SHARE / fronts * e.busyMs.spanMs());
+        return fewestToks(fit);
     }
 
     // ------------------------------------------------------------------ waiting and giving up
@@ -441,11 +429,9 @@
         }
     }
 
-    /** Revenue, which goes by work, for each token that the readers must read for it. */
     private double rank(Gen gen) {
-        double revenue = gen.product.revenue * (gen.overShare ? overShareRevenue : 1)
+        return gen.product.revenue * (gen.overShare ? overShareRevenue : 1)
                 * (gen.resent ? gen.product.lateRevenue : 1);
-        return revenue;
     }
 
     private boolean isHopeless(Gen gen, double now) {
@@ -453,14 +439,8 @@
     }
 
     private void giveUp(Gen gen) {
-        for (Leg leg : gen.legs) {
-            if (leg.out) {
-                cancel(leg);
-            }
-        }
-        gen.over = true;
-        leaveWait(gen);
-        letGo(gen);
+        cancelOthers(gen, null);
+        departed(gen);
         if (mayThrottle(gen)) {
             host.throttle(gen, comeBackMaxMs <= 0 ? 0 : comeBackMaxMs * (0.3 + 0.7 * random.nextDouble()));
         } else {
@@ -484,7 +464,7 @@
         Leg leg = new Leg(gen, reader, !alone, now, alone ? genToks(gen) : unread, unread);
         awaitingToks += alone ? 0 : genToks(gen);
         double dueMs = (reader.unreadToks + unread) * msPerTok(reader, now);
-        leg.overdueMs = now + (alone ? OVERDUE_WRITE_MS : OVERDUE_READ_MS) + OVERDUE_FACTOR * dueMs;
+        leg.patienceMs = (alone ? OVERDUE_WRITE_MS : OVERDUE_READ_MS) + OVERDUE_FACTOR * dueMs;
         if (gen.session != null) {
             gen.session.sentTo(reader, gen.promptToks, now);
         }
@@ -495,9 +475,8 @@
     }
 
     private void sendWrite(Gen gen, Engine writer) {
-        double now = host.now();
-        Leg leg = new Leg(gen, writer, false, now, genToks(gen), 0);
-        leg.overdueMs = now + OVERDUE_WRITE_MS + OVERDUE_FACTOR * beginMs;
+        Leg leg = new Leg(gen, writer, false, host.now(), genToks(gen), 0);
+        leg.patienceMs = OVERDUE_WRITE_MS + OVERDUE_FACTOR * beginMs;
         send(leg);
     }
 
@@ -519,17 +498,11 @@
         }
     }
 
-    private void cancel(Leg leg) {
-        if (mayCancel && !leg.cancelled) {
-            leg.cancelled = true;
-            host.cancel(leg);
-        }
-    }
-
-    private void cancelOthers(Leg kept) {
-        for (Leg other : kept.gen.legs) {
-            if (other != kept && other.out) {
-                cancel(other);
+    private void cancelOthers(Gen gen, Leg kept) {
+        for (Leg leg : gen.legs) {
+            if (leg != kept && leg.out && !leg.cancelled && mayCancel) {
+                leg.cancelled = true;
+                host.cancel(leg);
             }
         }
     }
@@ -538,39 +511,22 @@
     private void look(Gen gen, double now) {
         if (now >= gen.limitMs - ANSWER_EARLY_MS) {
             giveUp(gen);
+        } else if (gen.waiting) {
             return;
-        }
-        if (gen.waiting) {
-            if (isHopeless(gen, now)) {
-                giveUp(gen);
-            }
-            return;
-        }
-        if (gen.legsOut == 0) {
+        } else if (gen.legsOut == 0) {
             advance(gen);
-            return;
-        }
-        for (int i = 0; i < gen.legs.size(); i++) {
-            Leg leg = gen.legs.get(i);
-            if (leg.out && !leg.overdue && now > leg.overdueMs) {
-                leg.overdue = true;
-                overdue(leg);
+        } else if (gen.product.effect == Effect.IDEMPOTENT && mayCancel && maySendCopies
+                && gen.legs.size() + (gen.state == null ? 2 : 1) <= maxLegs) {
+            Leg leg = gen.legs.get(gen.legs.size() - 1);
+            // Danger: an engine that takes work and falls silent would keep it until the client leaves.
+            if (leg.out && !leg.cancelled && now - Math.max(leg.engine.heardMs, leg.sentMs) > leg.patienceMs) {
+                blame(leg.engine);
+                cancelOthers(gen, null);
+                advance(gen);
             }
         }
     }
 
-    /** Danger: an engine that takes work and stays silent would keep it until the client leaves. */
-    private void overdue(Leg leg) {
-        Gen gen = leg.gen;
-        if (leg.engine.heardMs >= leg.sentMs || gen.product.effect != Effect.IDEMPOTENT || !mayCancel
-                || gen.legs.size() + (gen.state == null ? 2 : 1) > maxLegs || !maySendCopies) {
-            return;
-        }
-        blame(leg.engine);
-        cancel(leg);
-        advance(gen);
-    }
-
     // ------------------------------------------------------------------ rules
 
     /** Rule 2: whether one more leg to this writer could not repeat an effect. */
@@ -582,13 +538,10 @@
             return false;
         }
         for (Leg leg : gen.legs) {
-            if (leg.read || leg.outcome != null && leg.outcome.neverRan) {
-                continue;
-            }
-            if (gen.product.effect == Effect.SIDE_EFFECTING
+            if (leg.mayHaveRun() && (gen.product.effect == Effect.SIDE_EFFECTING
                     || host.now() > leg.sentMs + MEMORY_PART * gen.product.memoryMs
                     || gen.product.span == Span.ZONE && !leg.engine.zone.equals(engine.zone)
-                    || gen.product.span == Span.RACK && leg.engine.rack != engine.rack) {
+                    || gen.product.span == Span.RACK && leg.engine.rack != engine.rack)) {
                 return false;
             }
         }
@@ -596,16 +549,9 @@
     }
 
     private static boolean mayThrottle(Gen gen) {
-        if (gen.product.effect == Effect.IDEMPOTENT
-                || gen.product.effect == Effect.DEDUPLICATED && gen.product.span == Span.ALL) {
-            return true;
-        }
-        for (Leg leg : gen.legs) {
-            if (!leg.read && (leg.outcome == null || !leg.outcome.neverRan)) {
-                return false;
-            }
-        }
-        return true;
+        return gen.product.effect == Effect.IDEMPOTENT
+                || gen.product.effect == Effect.DEDUPLICATED && gen.product.span == Span.ALL
+                || gen.legs.stream().noneMatch(Leg::mayHaveRun);
     }
 
     private boolean isCold(Engine engine, double now) {
@@ -637,7 +583,8 @@
         }
         for (Engine engine : pool) {
             // All suspect = none suspect: doubt must never empty a pool.
-            if ((isSound(engine, now) || !anySound) && (!isCold(engine, now) || now >= engine.coldNextMs)) {
+            if ((isSound(engine, now) || !anySound) && mayRunAt(gen, engine)
+                    && (!isCold(engine, now) || now >= engine.coldNextMs)) {
                 fit.add(engine);
             }
         }
@@ -656,7 +603,6 @@
         engine.onTrial = false;
         if (report != null) {
             engine.report = report;
-            engine.reportMs = now;
             double toks = report.heldShare() * engine.memoryToks - engine.writeToks;
             double streams = report.inflight() - engine.streams;
             engine.othersToks += REPORT_WEIGHT * (Math.max(0, orZero(toks)) - engine.othersToks);
@@ -704,10 +650,6 @@
         return Math.max(gen.promptToks - kept, LEAST_READ_TOKS);
     }
 
-    private static Engine hashed(Text prefix, List<Engine> pool) {
-        return pool.stream().max(Comparator.comparingLong(prefix::affinity)).orElse(null);
-    }
-
     /** Room for this one beside all that is being read; every front is taken to read as much as this one. */
     private boolean roomAnywhere(Gen gen) {
         double room = writers.isEmpty() ? Double.NaN : 0;
@@ -745,13 +687,8 @@
         }
     }
 
-    private void askList() {
-        askedMs = host.now();
-        host.followList();
-    }
-
     private void setWake() {
-        if (!wakeSet && (!open.isEmpty() || listIsAsked)) {
+        if (!wakeSet && (!open.isEmpty() || askAtMs < Double.POSITIVE_INFINITY)) {
             wakeSet = true;
             host.wake(host.now() + SWEEP_MS);
         }
--- a/src/main/java/larchridge/benchlink/EnvReader.java
+++ b/src/main/java/larchridge/benchlink/EnvReader.java
@@ -58,7 +58,6 @@
         terms.writersRead = flag(family, "local_read");
         terms.resumes = flag(family, "resume");
         terms.listIsAsked = env.path("discovery").asText("push").equals("ask");
-        terms.askWithinMs = ms(rules, "ask_within_s", 10);
         String source = reporting.path("source").asText("off");
         terms.reportsWithAnswers = source.equals("inline");
         terms.reportsWithProbes = !source.equals("off");
--- a/src/main/java/larchridge/benchlink/Instance.java
+++ b/src/main/java/larchridge/benchlink/Instance.java
@@ -180,6 +180,7 @@
             default -> throw line.bad("member kind is '" + kind
                     + "'; expected INCREMENTAL, FULL, SAVED or FAILED");
         }
+        engines.values().removeIf(engine -> engine.mode == Mode.GONE && engine.legs.isEmpty());
     }
 
     private static boolean next(Line line) throws BadLine {
--- a/src/main/java/larchridge/state/Engine.java
+++ b/src/main/java/larchridge/state/Engine.java
@@ -27,7 +27,6 @@
     public double busyMarkMs;
 
     public Report report;
-    public double reportMs = Double.NEGATIVE_INFINITY;
     public double othersToks;
     public double othersStreams;
     public double probedMs = Double.NEGATIVE_INFINITY;
@@ -80,6 +79,16 @@
         return (streams + othersStreams) / units;
     }
 
+    public void take(Listing entry) {
+        mode = entry.mode();
+        startMs = entry.startMs();
+        units = entry.units() > 0 ? entry.units() : 1;
+        zone = entry.zone();
+        rack = entry.rack();
+        role = entry.role();
+        memoryToks = entry.memoryToks();
+    }
+
     /** Drops what was learned of a process that has ended. */
     public void forgetProcess(double nowMs) {
         textsSinceMs = nowMs;
--- a/src/main/java/larchridge/state/Leg.java
+++ b/src/main/java/larchridge/state/Leg.java
@@ -13,11 +13,10 @@
     public double unreadToks;
     /** The start of the engine's process this leg went to. */
     public final double engineStartMs;
-    public double overdueMs;
+    /** For how long its engine may be silent over it. */
+    public double patienceMs;
     public boolean out = true;
     public boolean cancelled;
-    public boolean overdue;
-    public boolean begun;
     public Outcome outcome;
 
     public Leg(Gen gen, Engine engine, boolean read, double sentMs, double toks, double unreadToks) {
@@ -31,6 +30,11 @@
         this.engineStartMs = engine.startMs;
     }
 
+    /** Whether it was at a writer and is not proved to have had no effect. */
+    public boolean mayHaveRun() {
+        return !read && (outcome == null || !outcome.neverRan);
+    }
+
     /** Counts this leg at its generation and engine. */
     public void open(double nowMs) {
         gen.legs.add(this);
--- a/src/main/java/larchridge/state/Terms.java
+++ b/src/main/java/larchridge/state/Terms.java
@@ -18,7 +18,6 @@
     public boolean writersRead;
     public boolean resumes;
     public boolean listIsAsked;
-    public double askWithinMs;
     public boolean reportsWithAnswers;
     public boolean reportsWithProbes;
     /** The longest advice to stay away that a client honours; 0 where there is none. */
--- a/src/test/java/larchridge/ChoiceTest.java
+++ b/src/test/java/larchridge/ChoiceTest.java
@@ -210,4 +210,54 @@
         assertEquals(900, text.toksAt(fleet[0]));
         assertSame(fleet[1], text.keeper());
     }
+
+    @Test
+    void engineThatFallsSilentLosesItsLeg() {
+        Engine[] fleet = stage.fleet(2, 1);
+        choice.arrived(stage.gen("a"));
+        Leg silent = stage.last();
+        silent.engine.heardMs = stage.now + 600;
+        stage.now += 900;
+        choice.woken();
+        assertSame(silent, stage.last());
+        stage.now += 900;
+        choice.woken();
+        assertTrue(stage.heardOf("cancel a"));
+        assertSame(silent.engine == fleet[0] ? fleet[1] : fleet[0], stage.last().engine);
+    }
+
+    @Test
+    void deduplicatedRunsAgainOnlyWithinItsGroup() {
+        Engine[] fleet = stage.fleet(1, 2);
+        choice.arrived(stage.gen("a", Stage.product(Effect.DEDUPLICATED, Span.RACK), null, 1000));
+        choice.readDone(stage.last(), 0, null, false);
+        Leg write = stage.last();
+        (write.engine == fleet[1] ? fleet[2] : fleet[1]).rack = 7;
+        write.engine.rack = 3;
+        choice.ended(write, Outcome.CUT, null, false);
+        assertSame(write, stage.last());
+        assertTrue(stage.heardOf("terminate a"));
+    }
+
+    @Test
+    void restartedEngineIsForgottenAlsoAfterItLeftTheList() {
+        Engine[] fleet = stage.fleet(1, 1);
+        fleet[0].suspectUntilMs = stage.now + 60_000;
+        choice.listed(List.of(stage.listing(fleet[0], Role.READER, Mode.GONE, 0)), false);
+        choice.listed(List.of(stage.listing(fleet[0], Role.READER, Mode.READY, stage.now - 1)), false);
+        assertEquals(0, fleet[0].suspectUntilMs);
+    }
+
+    @Test
+    void listIsAskedForAgainAfterAFailureOnly() {
+        stage.terms.listIsAsked = true;
+        Choice asking = stage.start();
+        stage.now += 20_000;
+        asking.woken();
+        assertEquals(1, stage.said.stream().filter("follow"::equals).count());
+        asking.listFailed();
+        stage.now += 1001;
+        asking.woken();
+        assertEquals(2, stage.said.stream().filter("follow"::equals).count());
+    }
 }
--- a/src/test/java/larchridge/Stage.java
+++ b/src/test/java/larchridge/Stage.java
@@ -35,7 +35,6 @@
         terms.coldMs = 10_000;
         terms.tipMultiple = 2.5;
         terms.tipMs = 1000;
-        terms.askWithinMs = 10_000;
     }
 
     Choice start() {
