--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -463,7 +463,8 @@
         boolean alone = reader.role != Role.READER;
         Leg leg = new Leg(gen, reader, !alone, now, alone ? genToks(gen) : unread, unread);
         awaitingToks += alone ? 0 : genToks(gen);
-        double dueMs = (reader.unreadToks + unread) * msPerTok(reader, now);
+        // Danger: after kept texts were lost, a prompt takes its whole length and looks overdue.
+        double dueMs = (reader.unreadToks + gen.promptToks) * msPerTok(reader, now);
         leg.patienceMs = (alone ? OVERDUE_WRITE_MS : OVERDUE_READ_MS) + OVERDUE_FACTOR * dueMs;
         if (gen.session != null) {
             gen.session.sentTo(reader, gen.promptToks, now);
@@ -519,7 +520,8 @@
                 && gen.legs.size() + (gen.state == null ? 2 : 1) <= maxLegs) {
             Leg leg = gen.legs.get(gen.legs.size() - 1);
             // Danger: an engine that takes work and falls silent would keep it until the client leaves.
-            if (leg.out && !leg.cancelled && now - Math.max(leg.engine.heardMs, leg.sentMs) > leg.patienceMs) {
+            double silentMs = now - Math.max(leg.engine.heardMs, leg.sentMs);
+            if (leg.out && !leg.cancelled && silentMs > leg.patienceMs) {
                 blame(leg.engine);
                 cancelOthers(gen, null);
                 advance(gen);
