An overdue read gets a second read beside it in place of a call-off

Should also catch slow and paused readers. May harm: reads twice where readers are only slow to answer.

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -463,8 +463,7 @@
         boolean alone = reader.role != Role.READER;
         Leg leg = new Leg(gen, reader, !alone, now, alone ? genToks(gen) : unread, unread);
         awaitingToks += alone ? 0 : genToks(gen);
-        // Danger: after kept texts were lost, a prompt takes its whole length and looks overdue.
-        double dueMs = (reader.unreadToks + gen.promptToks) * msPerTok(reader, now);
+        double dueMs = (reader.unreadToks + unread) * msPerTok(reader, now);
         leg.patienceMs = (alone ? OVERDUE_WRITE_MS : OVERDUE_READ_MS) + OVERDUE_FACTOR * dueMs;
         if (gen.session != null) {
             gen.session.sentTo(reader, gen.promptToks, now);
@@ -523,8 +522,16 @@
             double silentMs = now - Math.max(leg.engine.heardMs, leg.sentMs);
             if (leg.out && !leg.cancelled && silentMs > leg.patienceMs) {
                 blame(leg.engine);
-                cancelOthers(gen, null);
-                advance(gen);
+                if (!leg.read) {
+                    cancelOthers(gen, null);
+                    advance(gen);
+                    return;
+                }
+                // A second read beside the first: calling off one that only takes long would waste it.
+                Engine other = roomAnywhere(gen) ? pickReader(gen) : null;
+                if (other != null && other != leg.engine) {
+                    sendRead(gen, other);
+                }
             }
         }
     }
