--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -612,7 +612,8 @@
         engine.onTrial = false;
         if (report != null) {
             engine.report = report;
-            double toks = report.heldShare() * engine.memoryToks - engine.writeToks;
+            // Danger: a full writer's memory share says nothing of the states that queue for it.
+            double toks = report.heldShare() * engine.memoryToks + orZero(report.toRead()) - engine.writeToks;
             double streams = report.inflight() - engine.streams;
             engine.othersToks += REPORT_WEIGHT * (Math.max(0, orZero(toks)) - engine.othersToks);
             engine.othersStreams += REPORT_WEIGHT * (Math.max(0, orZero(streams)) - engine.othersStreams);
