--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -668,7 +668,7 @@
                 room += roomToks(engine);
             }
         }
-        return !(room < awaitingToks * fronts + genToks(gen));
+        return !(room < awaitingToks + genToks(gen));
     }
 
     private boolean hasRoom(Engine engine, Gen gen) {
