--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -50,6 +50,7 @@
     private static final double SUSPECT_MOST_MS = 4000;
     // Cold engines: the part of the stated budget that is used.
     private static final double COLD_PART = 0.6;
+    private static final double WARM_KEPT = 0.9998;
     private static final double SWEEP_MS = 20;
     private static final double PROBE_EVERY_MS = 700;
     private static final double REPORT_WEIGHT = 0.5;
@@ -84,6 +85,9 @@
     private boolean wakeSet;
     private double askAtMs = Double.POSITIVE_INFINITY;
     private double beginMs = 100;
+    /** What warm engines were sent for each unit of weight, the highest of late. */
+    private double warmReadToksPerMs;
+    private double warmWriteToksPerMs;
 
     public Choice(Terms terms, Host host) {
         this.host = host;
@@ -245,6 +249,8 @@
             askAtMs = Double.POSITIVE_INFINITY;
             host.followList();
         }
+        warmReadToksPerMs = warmToksPerMs(readers, warmReadToksPerMs, now);
+        warmWriteToksPerMs = warmToksPerMs(writers, warmWriteToksPerMs, now);
         open.removeIf(gen -> gen.over && gen.legsOut == 0);
         for (int i = 0; i < open.size(); i++) {
             Gen gen = open.get(i);
@@ -485,7 +491,7 @@
         double now = host.now();
         engine.sends.add(now, leg.toks);
         if (isCold(engine, now)) {
-            double gapMs = leg.toks / coldToksPerMs(engine, leg.toks, now);
+            double gapMs = leg.toks / coldToksPerMs(engine, leg.toks);
             engine.coldNextMs = Math.max(now, engine.coldNextMs) + gapMs;
         }
         leg.open(now);
@@ -567,18 +573,23 @@
         return engine.startMs > 0 && now < engine.startMs + coldMs;
     }
 
-    /** Rule 4: this front's part of what a cold engine takes, by what warm engines of its role get. */
-    private double coldToksPerMs(Engine engine, double toks, double now) {
+    /** Rule 4: this front's part of what a cold engine takes, by the most that warm peers took of late. */
+    private double coldToksPerMs(Engine engine, double toks) {
+        double warm = engine.role == Role.READER ? warmReadToksPerMs : warmWriteToksPerMs;
+        return Math.max(coldShare * warm * engine.units, toks / tipMs);
+    }
+
+    /** Danger: when most of a pool is new, the warm rest gets little and would hold the new ones down. */
+    private double warmToksPerMs(List<Engine> pool, double known, double now) {
         double sent = 0;
         double units = 0;
-        for (Engine peer : engine.role == Role.READER ? readers : writers) {
-            if (!isCold(peer, now)) {
-                sent += peer.sends.sum(now);
-                units += peer.units;
+        for (Engine engine : pool) {
+            if (!isCold(engine, now)) {
+                sent += engine.sends.sum(now) / engine.sends.spanMs();
+                units += engine.units;
             }
         }
-        double warm = units == 0 ? 0 : sent / units * engine.units / engine.sends.spanMs();
-        return Math.max(coldShare * warm, toks / tipMs);
+        return Math.max(known * WARM_KEPT, units == 0 ? 0 : sent / units);
     }
 
     // ------------------------------------------------------------------ what is known of engines
@@ -668,7 +679,7 @@
                 room += roomToks(engine);
             }
         }
-        return !(room < awaitingToks + genToks(gen));
+        return !(room < awaitingToks * fronts + genToks(gen));
     }
 
     private boolean hasRoom(Engine engine, Gen gen) {
