Others are taken to send what this front sent since a report could tell

Cause: reports are half a second old, and every front fills the same room that it sees. May harm: unequal fronts wait too early.

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -490,6 +490,9 @@
         Engine engine = leg.engine;
         double now = host.now();
         engine.sends.add(now, leg.toks);
+        if (!leg.read) {
+            engine.freshToks.add(now, leg.toks);
+        }
         if (isCold(engine, now)) {
             double gapMs = leg.toks / coldToksPerMs(engine, leg.toks);
             engine.coldNextMs = Math.max(now, engine.coldNextMs) + gapMs;
@@ -624,7 +627,8 @@
         if (report != null) {
             engine.report = report;
             // Danger: a full writer's memory share says nothing of the states that queue for it.
-            double toks = report.heldShare() * engine.memoryToks + orZero(report.toRead()) - engine.writeToks;
+            double toks = report.heldShare() * engine.memoryToks + orZero(report.toRead())
+                    - engine.writeToks + engine.freshToks.sum(now);
             double streams = report.inflight() - engine.streams;
             engine.othersToks += REPORT_WEIGHT * (Math.max(0, orZero(toks)) - engine.othersToks);
             engine.othersStreams += REPORT_WEIGHT * (Math.max(0, orZero(streams)) - engine.othersStreams);
@@ -688,7 +692,8 @@
 
     /** NaN where the memory is not known. */
     private double roomToks(Engine engine) {
-        return engine.memoryToks * USABLE_MEMORY - engine.heldToks();
+        return engine.memoryToks * USABLE_MEMORY - engine.heldToks()
+                - (fronts - 1) * engine.freshToks.sum(host.now());
     }
 
     private static double genToks(Gen gen) {
--- a/src/main/java/larchridge/state/Engine.java
+++ b/src/main/java/larchridge/state/Engine.java
@@ -28,6 +28,8 @@
 
     public Report report;
     public double othersToks;
+    /** Own answers' tokens sent so lately that no report tells of them yet. */
+    public final Ring freshToks = new Ring(5, 100);
     public double othersStreams;
     public double probedMs = Double.NEGATIVE_INFINITY;
 
