--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -675,7 +675,7 @@
         return Math.max(gen.promptToks - kept, LEAST_READ_TOKS);
     }
 
-    /** Room for this one beside all that is being read; every front is taken to read as much as this one. */
+    /** Room for this one beside all that this front has being read. */
     private boolean roomAnywhere(Gen gen) {
         double room = writers.isEmpty() ? Double.NaN : 0;
         for (Engine engine : writers) {
@@ -683,7 +683,7 @@
                 room += roomToks(engine);
             }
         }
-        return !(room < awaitingToks * fronts + genToks(gen));
+        return !(room < awaitingToks + genToks(gen));
     }
 
     private boolean hasRoom(Engine engine, Gen gen) {
