--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -223,6 +223,7 @@
                     engine.forgetProcess(host.now());
                 }
                 engine.take(entry);
+                engine.otherFronts = fronts - 1;
             }
         }
         engines.removeIf(e -> e.mode == Mode.GONE && e.legs.isEmpty());
@@ -492,6 +493,7 @@
         engine.sends.add(now, leg.toks);
         if (!leg.read) {
             engine.freshToks.add(now, leg.toks);
+            engine.freshStreams.add(now, 1);
         }
         if (isCold(engine, now)) {
             double gapMs = leg.toks / coldToksPerMs(engine, leg.toks);
@@ -627,9 +629,10 @@
         if (report != null) {
             engine.report = report;
             // Danger: a full writer's memory share says nothing of the states that queue for it.
-            double toks = report.heldShare() * engine.memoryToks + orZero(report.toRead())
-                    - engine.writeToks + engine.freshToks.sum(now);
-            double streams = report.inflight() - engine.streams;
+            engine.toldToks = Math.max(0, engine.writeToks - engine.freshToks.sum(now));
+            engine.toldStreams = Math.max(0, engine.streams - engine.freshStreams.sum(now));
+            double toks = report.heldShare() * engine.memoryToks + orZero(report.toRead()) - engine.toldToks;
+            double streams = report.inflight() - engine.toldStreams;
             engine.othersToks += REPORT_WEIGHT * (Math.max(0, orZero(toks)) - engine.othersToks);
             engine.othersStreams += REPORT_WEIGHT * (Math.max(0, orZero(streams)) - engine.othersStreams);
         }
@@ -692,8 +695,7 @@
 
     /** NaN where the memory is not known. */
     private double roomToks(Engine engine) {
-        return engine.memoryToks * USABLE_MEMORY - engine.heldToks()
-                - (fronts - 1) * engine.freshToks.sum(host.now());
+        return engine.memoryToks * USABLE_MEMORY - engine.heldToks();
     }
 
     private static double genToks(Gen gen) {
--- a/src/main/java/larchridge/state/Engine.java
+++ b/src/main/java/larchridge/state/Engine.java
@@ -30,6 +30,12 @@
     public double othersToks;
     /** Own answers' tokens sent so lately that no report tells of them yet. */
     public final Ring freshToks = new Ring(5, 100);
+    public final Ring freshStreams = new Ring(5, 100);
+    /** Own tokens and streams that the last report counted. */
+    public double toldToks;
+    public double toldStreams;
+    /** How many fronts are taken to send as this one does while no report tells of them. */
+    public int otherFronts;
     public double othersStreams;
     public double probedMs = Double.NEGATIVE_INFINITY;
 
@@ -68,9 +74,9 @@
         return Double.NaN;
     }
 
-    /** Tokens held there, as far as is known. */
+    /** Tokens held there, as far as is known; others are taken to have sent as much as this front since told. */
     public double heldToks() {
-        return writeToks + othersToks;
+        return writeToks + othersToks + otherFronts * Math.max(0, writeToks - toldToks);
     }
 
     public double toksPerUnit() {
@@ -78,7 +84,7 @@
     }
 
     public double streamsPerUnit() {
-        return (streams + othersStreams) / units;
+        return (streams + othersStreams + otherFronts * Math.max(0, streams - toldStreams)) / units;
     }
 
     public void take(Listing entry) {
@@ -99,6 +105,8 @@
         sends.clear();
         othersToks = 0;
         othersStreams = 0;
+        toldToks = 0;
+        toldStreams = 0;
         report = null;
         fullUntilMs = 0;
         suspectUntilMs = 0;
