--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -533,14 +533,17 @@
             double silentMs = now - Math.max(leg.engine.heardMs, leg.sentMs);
             if (leg.out && !leg.cancelled && silentMs > leg.patienceMs) {
                 blame(leg.engine);
-                if (!leg.read) {
-                    cancelOthers(gen, null);
-                    advance(gen);
+                // A second read beside the first: calling off one that only takes long would waste it. An
+                // answer that waits for its writer moves only where there is room, or it would queue anew.
+                Engine other = gen.state != null ? pickWriter(gen)
+                        : roomAnywhere(gen) ? pickReader(gen) : null;
+                if (other == null || other == leg.engine || gen.state != null && !hasRoom(other, gen)) {
                     return;
                 }
-                // A second read beside the first: calling off one that only takes long would waste it.
-                Engine other = roomAnywhere(gen) ? pickReader(gen) : null;
-                if (other != null && other != leg.engine) {
+                if (gen.state != null) {
+                    cancelOthers(gen, null);
+                    sendWrite(gen, other);
+                } else {
                     sendRead(gen, other);
                 }
             }
