--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -36,7 +36,7 @@
     private static final double LEAST_READ_TOKS = 32;
     private static final double FULL_MS = 2000;
     private static final double FULL_WITH_REPORTS_MS = 300;
-    private static final double USABLE_MEMORY = 0.95;
+    private static final double USABLE_MEMORY = 1.0;
     private static final double NEAR_STREAMS_FACTOR = 1.3;
     private static final double NEAR_STREAMS_MORE = 2;
     // Speed before any engine was heard, and the least that is needed to believe one engine's own.
