--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -339,9 +339,7 @@
             double backlog = backlogMs(engine, now);
             boolean isShort = backlog <= ALPHA_MS;
             double toks = engine.unreadToks + readToks(gen, engine);
-            // Danger: behind the other fronts' prompts an idle-looking reader reads too slowly for the SLO time.
-            boolean inTime = now + toks * msPerTok(engine, now) + beginMs <= gen.sloAtMs();
-            if (backlog <= BETA_MS && inTime && (best == null || isShort && !bestShort
+            if (backlog <= BETA_MS && (best == null || isShort && !bestShort
                     || isShort == bestShort && toks < bestToks)) {
                 best = engine;
                 bestToks = toks;
