Other fronts' unread tokens by a fresh report count when readers are compared

Cause: a front sees its own prompts at a reader only, though reports with answers tell of all. Should also catch unequal fronts. May harm: herds to a reader whose report is about to change.

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -53,6 +53,7 @@
     private static final double WARM_KEPT = 0.9998;
     private static final double SWEEP_MS = 20;
     private static final double PROBE_EVERY_MS = 700;
+    private static final double READ_REPORT_MS = 500;
     private static final double REPORT_WEIGHT = 0.5;
     private static final double ASK_AGAIN_MS = 500;
     private static final double ANSWER_EARLY_MS = 30;
@@ -338,7 +339,9 @@
         for (Engine engine : fit) {
             double backlog = backlogMs(engine, now);
             boolean isShort = backlog <= ALPHA_MS;
-            double toks = engine.unreadToks + readToks(gen, engine);
+            // Others' prompts count for the choice while their report is fresh.
+            double others = now - engine.heardMs < READ_REPORT_MS ? engine.othersUnreadToks : 0;
+            double toks = engine.unreadToks + others + readToks(gen, engine);
             if (backlog <= BETA_MS && (best == null || isShort && !bestShort
                     || isShort == bestShort && toks < bestToks)) {
                 best = engine;
@@ -631,6 +634,7 @@
         engine.onTrial = false;
         if (report != null) {
             engine.report = report;
+            engine.othersUnreadToks = Math.max(0, orZero(report.toRead()) - engine.unreadToks);
             // Danger: a full writer's memory share says nothing of the states that queue for it.
             engine.toldToks = Math.max(0, engine.writeToks - engine.freshToks.sum(now));
             engine.toldStreams = Math.max(0, engine.streams - engine.freshStreams.sum(now));
--- a/src/main/java/larchridge/state/Engine.java
+++ b/src/main/java/larchridge/state/Engine.java
@@ -28,6 +28,8 @@
 
     public Report report;
     public double othersToks;
+    /** Prompt tokens of others that waited there by the last report. */
+    public double othersUnreadToks;
     /** Own answers' tokens sent so lately that no report tells of them yet. */
     public final Ring freshToks = new Ring(5, 100);
     public final Ring freshStreams = new Ring(5, 100);
--- a/src/test/java/larchridge/ChoiceTest.java
+++ b/src/test/java/larchridge/ChoiceTest.java
@@ -297,4 +297,14 @@
         choice.arrived(stage.gen("a"));
         assertTrue(fleet[0].coldNextMs < stage.now + 300);
     }
+
+    @Test
+    void othersPromptsCountWhileTheirReportIsFresh() {
+        Engine[] fleet = stage.fleet(2, 1);
+        fleet[0].othersUnreadToks = 5000;
+        fleet[0].heardMs = stage.now;
+        fleet[1].unreadToks = 800;
+        choice.arrived(stage.gen("a"));
+        assertSame(fleet[1], stage.last().engine);
+    }
 }
