--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -262,8 +262,8 @@
         }
         admitWaiting();
         if (probesForReports && !open.isEmpty()) {
-            for (Engine engine : writers) {
-                if (now - engine.probedMs > PROBE_EVERY_MS) {
+            for (Engine engine : engines) {
+                if (engine.mode == Mode.READY && now - engine.probedMs > PROBE_EVERY_MS) {
                     engine.probedMs = now;
                     host.probe(engine);
                 }
