--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -262,8 +262,8 @@
         }
         admitWaiting();
         if (probesForReports && !open.isEmpty()) {
-            for (Engine engine : engines) {
-                if (engine.mode == Mode.READY && now - engine.probedMs > PROBE_EVERY_MS) {
+            for (Engine engine : writers) {
+                if (now - engine.probedMs > PROBE_EVERY_MS) {
                     engine.probedMs = now;
                     host.probe(engine);
                 }
@@ -653,6 +653,7 @@
         engine.suspectForMs = Math.min(SUSPECT_MOST_MS, Math.max(SUSPECT_FIRST_MS, 2 * engine.suspectForMs));
         engine.suspectUntilMs = now + engine.suspectForMs * (0.75 + 0.5 * random.nextDouble());
         engine.onTrial = true;
+        host.log("engine " + engine.label + " suspect for " + Math.round(engine.suspectForMs) + " ms");
     }
 
     /** Own unread tokens in time; never less than how long the engine has been silent over them. */
