Take out dead fields, the always-zero time-out of a send and a misplaced comment

Nothing is decided anew: start figures that nothing read, two sums of a product, a count of which only 'any' was asked, a report kept only for its presence.

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -143,7 +143,7 @@
         if (gen.state == null) {
             gen.state = leg;
         }
-        if (gen.over || gen.begun || gen.writesOut() > 0) {
+        if (gen.over || gen.begun || gen.isAtWriter()) {
             // Danger: a read that ends after its generation would leave its state pinned.
             letGo(gen);
         } else {
@@ -176,7 +176,7 @@
             case STREAMED, FAULT, NO_STATE -> heard(engine, report);
             case FULL -> {
                 heard(engine, report);
-                engine.fullUntilMs = host.now() + (engine.report == null ? FULL_MS : FULL_WITH_REPORTS_MS);
+                engine.fullUntilMs = host.now() + (engine.reports ? FULL_WITH_REPORTS_MS : FULL_MS);
             }
             case UNREACHABLE, CUT -> blame(engine);
             default -> { }
@@ -503,7 +503,7 @@
             engine.coldNextMs = Math.max(now, engine.coldNextMs) + gapMs;
         }
         leg.open(now);
-        host.send(leg, 0);
+        host.send(leg);
     }
 
     private void close(Leg leg) {
@@ -633,11 +633,11 @@
         engine.suspectForMs = 0;
         engine.onTrial = false;
         if (report != null) {
-            engine.report = report;
+            engine.reports = true;
             engine.othersUnreadToks = Math.max(0, orZero(report.toRead()) - engine.unreadToks);
-            // Danger: a full writer's memory share says nothing of the states that queue for it.
             engine.toldToks = Math.max(0, engine.writeToks - engine.freshToks.sum(now));
             engine.toldStreams = Math.max(0, engine.streams - engine.freshStreams.sum(now));
+            // Danger: a full writer's memory share says nothing of the states that queue for it.
             double toks = report.heldShare() * engine.memoryToks + orZero(report.toRead()) - engine.toldToks;
             double streams = report.inflight() - engine.toldStreams;
             engine.othersToks += REPORT_WEIGHT * (Math.max(0, orZero(toks)) - engine.othersToks);
--- a/src/main/java/larchridge/Host.java
+++ b/src/main/java/larchridge/Host.java
@@ -10,13 +10,13 @@
     /** The clock; it stands still while the module handles one happening. */
     double now();
 
-    /** Sends a leg; with timeoutMs 0 it ends when the client gives up. */
-    void send(Leg leg, double timeoutMs);
+    /** Sends a leg; it ends at the latest when the client gives up. */
+    void send(Leg leg);
 
     /** Stops waiting for a leg; its outcome still comes. */
     void cancel(Leg leg);
 
-    /** Lets go of every state and place that is held for a generation and that no leg waits for. */
+    /** Lets go of every state that is held for a generation and that no leg waits for. */
     void release(Gen gen);
 
     /** Final answer: not now, and trying again is harmless. With comeBackMs 0 there is no advice when. */
--- a/src/main/java/larchridge/benchlink/Instance.java
+++ b/src/main/java/larchridge/benchlink/Instance.java
@@ -240,13 +240,8 @@
     }
 
     @Override
-    public void send(Leg leg, double timeoutMs) {
-        Link.Reply to = line("HAND_OFF").text(" job=").text(leg.gen.label)
-                .text(" engine=").whole(leg.engine.label);
-        if (timeoutMs > 0) {
-            to.text(" give_up_after_s=").seconds(timeoutMs);
-        }
-        to.end();
+    public void send(Leg leg) {
+        line("HAND_OFF").text(" job=").text(leg.gen.label).text(" engine=").whole(leg.engine.label).end();
     }
 
     @Override
--- a/src/main/java/larchridge/state/Engine.java
+++ b/src/main/java/larchridge/state/Engine.java
@@ -26,7 +26,8 @@
     public final Ring busyMs = new Ring(12, 500);
     public double busyMarkMs;
 
-    public Report report;
+    /** Whether this process has told its load. */
+    public boolean reports;
     public double othersToks;
     /** Prompt tokens of others that waited there by the last report. */
     public double othersUnreadToks;
@@ -76,7 +77,7 @@
         return Double.NaN;
     }
 
-    /** Tokens held there, as far as is known; others are taken to have sent as much as this front since told. */
+    /** Tokens held there as far as is known; others are taken to have sent like this front since told. */
     public double heldToks() {
         return writeToks + othersToks + otherFronts * Math.max(0, writeToks - toldToks);
     }
@@ -109,7 +110,7 @@
         othersStreams = 0;
         toldToks = 0;
         toldStreams = 0;
-        report = null;
+        reports = false;
         fullUntilMs = 0;
         suspectUntilMs = 0;
         suspectForMs = 0;
--- a/src/main/java/larchridge/state/Gen.java
+++ b/src/main/java/larchridge/state/Gen.java
@@ -55,14 +55,8 @@
         return firstTryMs + product.sloMs + product.sloMsPerTok * promptToks;
     }
 
-    /** Legs at writers that are out and not called off. */
-    public int writesOut() {
-        int count = 0;
-        for (Leg leg : legs) {
-            if (leg.out && !leg.read && !leg.cancelled) {
-                count++;
-            }
-        }
-        return count;
+    /** Whether a leg at a writer is out and not called off. */
+    public boolean isAtWriter() {
+        return legs.stream().anyMatch(leg -> leg.out && !leg.read && !leg.cancelled);
     }
 }
--- a/src/main/java/larchridge/state/Product.java
+++ b/src/main/java/larchridge/state/Product.java
@@ -11,9 +11,6 @@
     public final double sloMs;
     public final double sloMsPerTok;
     public final double tokMs;
-    /** Sums over what has been seen of this product, for its mean prompt work and answer. */
-    public double seenGens;
-    public double seenReadToks;
 
     public Product(String name, Effect effect, Span span, double memoryMs, double revenue, double lateRevenue,
                    double sloMs, double sloMsPerTok, double tokMs) {
--- a/src/test/java/larchridge/Stage.java
+++ b/src/test/java/larchridge/Stage.java
@@ -30,7 +30,6 @@
         terms.mayProbe = true;
         terms.maySendCopies = true;
         terms.reportsWithAnswers = true;
-        terms.releaseMs = 500;
         terms.coldShare = 0.3;
         terms.coldMs = 10_000;
         terms.tipMultiple = 2.5;
@@ -84,7 +83,7 @@
     }
 
     @Override
-    public void send(Leg leg, double timeoutMs) {
+    public void send(Leg leg) {
         sent.add(leg);
         said.add("send " + leg.gen.label + " " + leg.engine.label);
     }
