--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -52,7 +52,9 @@
     private static final double COLD_PART = 0.6;
     private static final double WARM_KEPT = 0.9998;
     private static final double SWEEP_MS = 20;
-    private static final double PROBE_EVERY_MS = 700;
+    // Reports: how many writers a read asks, and how old what is known of one may be before it is asked again.
+    private static final int WRITERS_ASKED = 3;
+    private static final double FRESH_MS = 300;
     private static final double READ_REPORT_MS = 500;
     private static final double REPORT_WEIGHT = 0.5;
     private static final double ASK_AGAIN_MS = 500;
@@ -69,7 +71,7 @@
     private final boolean mayCancel;
     private final boolean maySendCopies;
     private final boolean writersRead;
-    private final boolean probesForReports;
+    private final boolean mayProbe;
     private final double comeBackMaxMs;
     private final double coldMs;
     private final double coldShare;
@@ -100,7 +102,7 @@
         mayCancel = terms.mayCancel;
         maySendCopies = terms.maySendCopies;
         writersRead = terms.writersRead;
-        probesForReports = !terms.reportsWithAnswers && terms.reportsWithProbes && terms.mayProbe;
+        mayProbe = terms.reportsWithProbes && terms.mayProbe;
         comeBackMaxMs = terms.comeBackMaxMs;
         coldMs = terms.coldMs;
         coldShare = terms.coldShare * terms.tipMultiple * COLD_PART;
@@ -261,14 +263,6 @@
             }
         }
         admitWaiting();
-        if (probesForReports && !open.isEmpty()) {
-            for (Engine engine : writers) {
-                if (now - engine.probedMs > PROBE_EVERY_MS) {
-                    engine.probedMs = now;
-                    host.probe(engine);
-                }
-            }
-        }
         while (!texts.isEmpty() && texts.iterator().next().usedMs < now - TEXT_KEPT_MS) {
             Text old = texts.iterator().next();
             texts.remove(old);
@@ -482,6 +476,24 @@
             gen.prefix.sentTo(reader, gen.sharedToks, now);
         }
         send(leg);
+        if (!alone) {
+            ask(writers, WRITERS_ASKED);
+        }
+    }
+
+    /**
+     * Asks a few engines for their load. Danger: fronts that ask on a clock ask as often as there are fronts;
+     * asks that follow generations stay the same few for each, and chance keeps fronts from one common pick.
+     */
+    private void ask(List<Engine> pool, int most) {
+        double now = host.now();
+        for (int i = 0; mayProbe && i < Math.min(most, pool.size()); i++) {
+            Engine engine = pool.get(random.nextInt(pool.size()));
+            if (now - Math.max(engine.probedMs, engine.reportMs) > FRESH_MS) {
+                engine.probedMs = now;
+                host.probe(engine);
+            }
+        }
     }
 
     private void sendWrite(Gen gen, Engine writer) {
@@ -634,6 +646,7 @@
         engine.onTrial = false;
         if (report != null) {
             engine.reports = true;
+            engine.reportMs = now;
             engine.othersUnreadToks = Math.max(0, orZero(report.toRead()) - engine.unreadToks);
             engine.toldToks = Math.max(0, engine.writeToks - engine.freshToks.sum(now));
             engine.toldStreams = Math.max(0, engine.streams - engine.freshStreams.sum(now));
--- a/src/main/java/larchridge/state/Engine.java
+++ b/src/main/java/larchridge/state/Engine.java
@@ -41,6 +41,7 @@
     public int otherFronts;
     public double othersStreams;
     public double probedMs = Double.NEGATIVE_INFINITY;
+    public double reportMs = Double.NEGATIVE_INFINITY;
 
     public double fullUntilMs;
     public double suspectUntilMs;
@@ -111,6 +112,7 @@
         toldToks = 0;
         toldStreams = 0;
         reports = false;
+        reportMs = Double.NEGATIVE_INFINITY;
         fullUntilMs = 0;
         suspectUntilMs = 0;
         suspectForMs = 0;
