Cold engines are drawn by chance, so that the budget holds for any number of fronts

Cause: each front could send a cold engine one leg a window; 170 floors of one leg passed the shared budget up to 8.5 times. May harm: a front just restarted knows no rate and leaves cold engines alone.

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -14,6 +14,7 @@
 import larchridge.state.Mode;
 import larchridge.state.Outcome;
 import larchridge.state.Report;
+import larchridge.state.Ring;
 import larchridge.state.Role;
 import larchridge.state.Span;
 import larchridge.state.Terms;
@@ -49,10 +50,9 @@
     private static final double SUSPECT_FIRST_MS = 500;
     private static final double SUSPECT_MOST_MS = 4000;
     // Cold engines: the part of the stated budget that is used.
-    private static final double COLD_PART = 0.6;
-    private static final double WARM_KEPT = 0.9998;
+    private static final double COLD_PART = 0.5;
     private static final double SWEEP_MS = 20;
-    // Reports: how many writers a read asks, and how old what is known of one may be before it is asked again.
+    // How many writers a read asks for their load, and how old a report may be before one is asked again.
     private static final int WRITERS_ASKED = 3;
     private static final double FRESH_MS = 300;
     private static final double READ_REPORT_MS = 500;
@@ -75,7 +75,7 @@
     private final double comeBackMaxMs;
     private final double coldMs;
     private final double coldShare;
-    private final double tipMs;
+    private final double bornMs;
 
     private final List<Engine> engines = new ArrayList<>();
     private final List<Engine> readers = new ArrayList<>();
@@ -88,9 +88,9 @@
     private boolean wakeSet;
     private double askAtMs = Double.POSITIVE_INFINITY;
     private double beginMs = 100;
-    /** What warm engines were sent for each unit of weight, the highest of late. */
-    private double warmReadToksPerMs;
-    private double warmWriteToksPerMs;
+    /** Reads and answers that warm engines took of late. */
+    private final Ring warmReads = new Ring(30, 1000);
+    private final Ring warmWrites = new Ring(30, 1000);
 
     public Choice(Terms terms, Host host) {
         this.host = host;
@@ -106,7 +106,7 @@
         comeBackMaxMs = terms.comeBackMaxMs;
         coldMs = terms.coldMs;
         coldShare = terms.coldShare * terms.tipMultiple * COLD_PART;
-        tipMs = terms.tipMs;
+        bornMs = host.now();
         if (terms.listIsAsked) {
             host.followList();
         }
@@ -140,6 +140,9 @@
         Gen gen = leg.gen;
         heard(leg.engine, report);
         leg.engine.readToks.add(host.now(), Math.max(gen.promptToks - keptToks, LEAST_READ_TOKS));
+        if (!isCold(leg.engine, host.now())) {
+            warmReads.add(host.now(), 1);
+        }
         close(leg);
         gen.over |= over;
         if (gen.state == null) {
@@ -164,6 +167,9 @@
         }
         gen.begun = true;
         gen.state = null;
+        if (!isCold(leg.engine, host.now())) {
+            warmWrites.add(host.now(), 1);
+        }
         beginMs += 0.05 * (host.now() - leg.sentMs - beginMs);
         cancelOthers(gen, leg);
     }
@@ -253,8 +259,6 @@
             askAtMs = Double.POSITIVE_INFINITY;
             host.followList();
         }
-        warmReadToksPerMs = warmToksPerMs(readers, warmReadToksPerMs, now);
-        warmWriteToksPerMs = warmToksPerMs(writers, warmWriteToksPerMs, now);
         open.removeIf(gen -> gen.over && gen.legsOut == 0);
         for (int i = 0; i < open.size(); i++) {
             Gen gen = open.get(i);
@@ -505,15 +509,10 @@
     private void send(Leg leg) {
         Engine engine = leg.engine;
         double now = host.now();
-        engine.sends.add(now, leg.toks);
         if (!leg.read) {
             engine.freshToks.add(now, leg.toks);
             engine.freshStreams.add(now, 1);
         }
-        if (isCold(engine, now)) {
-            double gapMs = leg.toks / coldToksPerMs(engine, leg.toks);
-            engine.coldNextMs = Math.max(now, engine.coldNextMs) + gapMs;
-        }
         leg.open(now);
         host.send(leg);
     }
@@ -596,23 +595,22 @@
         return engine.startMs > 0 && now < engine.startMs + coldMs;
     }
 
-    /** Rule 4: this front's part of what a cold engine takes, by the most that warm peers took of late. */
-    private double coldToksPerMs(Engine engine, double toks) {
-        double warm = engine.role == Role.READER ? warmReadToksPerMs : warmWriteToksPerMs;
-        return Math.max(coldShare * warm * engine.units, toks / tipMs);
-    }
-
-    /** Danger: when most of a pool is new, the warm rest gets little and would hold the new ones down. */
-    private double warmToksPerMs(List<Engine> pool, double known, double now) {
-        double sent = 0;
+    /**
+     * Rule 4: a chance draw whose mean over all fronts is the part of the budget that a cold engine may get, by
+     * what warm peers take. Danger: one leg a front is already too much where there are many fronts, and an
+     * idle new engine looks best to all of them at once; no draw is worth more than the time since the last.
+     */
+    private boolean coldDraw(Engine engine, double now) {
+        boolean reads = engine.role == Role.READER;
         double units = 0;
-        for (Engine engine : pool) {
-            if (!isCold(engine, now)) {
-                sent += engine.sends.sum(now) / engine.sends.spanMs();
-                units += engine.units;
-            }
+        for (Engine peer : reads ? readers : writers) {
+            units += isCold(peer, now) ? 0 : peer.units;
         }
-        return Math.max(known * WARM_KEPT, units == 0 ? 0 : sent / units);
+        Ring taken = reads ? warmReads : warmWrites;
+        double perMs = taken.sum(now) / Math.min(taken.spanMs(), now - bornMs + 1) / Math.max(units, engine.units);
+        double sinceMs = now - Math.max(engine.drawnMs, engine.startMs);
+        engine.drawnMs = now;
+        return random.nextDouble() < coldShare * perMs * engine.units * sinceMs;
     }
 
     // ------------------------------------------------------------------ what is known of engines
@@ -627,7 +625,7 @@
         for (Engine engine : pool) {
             // All suspect = none suspect: doubt must never empty a pool.
             if ((isSound(engine, now) || !anySound) && mayRunAt(gen, engine)
-                    && (!isCold(engine, now) || now >= engine.coldNextMs)) {
+                    && (!isCold(engine, now) || coldDraw(engine, now))) {
                 fit.add(engine);
             }
         }
--- a/src/main/java/larchridge/state/Engine.java
+++ b/src/main/java/larchridge/state/Engine.java
@@ -52,9 +52,8 @@
     /** Texts sent there before this are no longer kept. */
     public double textsSinceMs = Double.NEGATIVE_INFINITY;
 
-    /** Sends of the last seconds, weighed by work; the rate that cold engines are measured against. */
-    public final Ring sends = new Ring(10, 1000);
-    public double coldNextMs;
+    /** When it was last drawn for while cold, or listed anew. */
+    public double drawnMs;
 
     public Engine(long label) {
         this.label = label;
@@ -106,7 +105,6 @@
         textsSinceMs = nowMs;
         readToks.clear();
         busyMs.clear();
-        sends.clear();
         othersToks = 0;
         othersStreams = 0;
         toldToks = 0;
@@ -117,6 +115,6 @@
         suspectUntilMs = 0;
         suspectForMs = 0;
         onTrial = false;
-        coldNextMs = 0;
+        drawnMs = nowMs;
     }
 }
