Hashed homes, asks on arrival, faded reports: reader and writer choice for many fronts

Cause: a front sees a sliver of the traffic, so its own counts say nothing; one report read by all fronts made herds; texts read anew elsewhere drove other texts out, until reads took 2500 tokens in place of 800 and the readers stayed full. Change: a prefix has two homes a zone by hash, a session one of them; readers are asked on arrival, writers during the read; reports of prompts count less what is kept; they fade into what the pool usually tells; others' sends are taken from own ones only as far as few sends can tell; each generation draws a beta of its own, and is not sent where it would be too late; retries go to short readers only; engines of both roles read in place where no reader is short and they hold few streams; a state is released after the last leg of everything that was read (lost answers). Retries told by session, account shares in the wait and the module's own forgetting of texts are taken out: they measured nothing. May harm: fleets where sessions never come back, since homes bind them.

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -3,15 +3,15 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Random;
 import larchridge.state.Effect;
 import larchridge.state.Engine;
+import larchridge.state.Fleet;
 import larchridge.state.Gen;
 import larchridge.state.Leg;
 import larchridge.state.Listing;
-import larchridge.state.Mode;
+import larchridge.state.Mean;
 import larchridge.state.Outcome;
 import larchridge.state.Report;
 import larchridge.state.Ring;
@@ -30,43 +30,49 @@
 public final class Choice {
     // The mechanism: thresholds of a reader's backlog, margin of the writers' mean, stand-in for the answer.
     private static final double ALPHA_MS = 250;
-    private static final double BETA_MS = 500;
+    private static final double BETA_MS = 1750;
     private static final double Z_MARGIN = 1.05;
     private static final double EXPECTED_SHARE_OF_MAX = 0.5;
-    private static final double SELF_READ_SHARE = 0.6;
-    private static final double LEAST_READ_TOKS = 32;
     private static final double FULL_MS = 2000;
     private static final double FULL_WITH_REPORTS_MS = 300;
-    private static final double USABLE_MEMORY = 1.0;
     private static final double NEAR_STREAMS_FACTOR = 1.3;
     private static final double NEAR_STREAMS_MORE = 2;
-    // Speed before any engine was heard, and the least that is needed to believe one engine's own.
-    private static final double UNHEARD_MS_PER_TOK = 0.08;
-    private static final double BELIEVED_TOKS = 3000;
+    // Places of one prefix in a zone; the part of the mean streams under which an engine reads for itself.
+    private static final int HOMES = 2;
+    private static final double SELF_READ_STREAMS = 0.6;
+    // Speed before any read has ended, reads that tell an engine's own speed, the least that a read takes.
+    private static final double UNHEARD_TOKS_PER_MS = 12;
+    private static final double OWN_READS = 3;
+    private static final double LEAST_READ_TOKS = 32;
+    // Asking for load: how many, how old a report must be, how long an answer is waited for.
+    private static final int READERS_ASKED = 2;
+    private static final int WRITERS_ASKED = 3;
+    private static final double FRESH_MS = 300;
+    private static final double ASK_WAIT_MS = 15;
+    private static final double ASK_AGAIN_MS = 200;
+    // Reports: how fast they fade, what the one before still counts, how alike fronts are, half-done prompts.
+    private static final double READ_REPORT_MS = 500;
+    private static final double WRITE_REPORT_MS = 2000;
+    private static final double REPORT_KEPT = 0.5;
+    private static final double LIKE_OTHERS = 0.25;
+    private static final double BEING_READ = 0.5;
     // Health.
     private static final double OVERDUE_READ_MS = 400;
     private static final double OVERDUE_WRITE_MS = 700;
     private static final double OVERDUE_FACTOR = 3;
     private static final double SUSPECT_FIRST_MS = 500;
     private static final double SUSPECT_MOST_MS = 4000;
-    // Cold engines: the part of the stated budget that is used.
+    // Rules: the parts used of a cold engine's budget and of a group's memory, the margin of a final answer.
     private static final double COLD_PART = 0.5;
-    private static final double SWEEP_MS = 20;
-    // How many writers a read asks for their load, and how old a report may be before one is asked again.
-    private static final int WRITERS_ASKED = 3;
-    private static final double FRESH_MS = 300;
-    private static final double READ_REPORT_MS = 500;
-    private static final double REPORT_WEIGHT = 0.5;
-    private static final double ASK_AGAIN_MS = 500;
-    private static final double ANSWER_EARLY_MS = 30;
     private static final double MEMORY_PART = 0.8;
-    private static final double TEXT_KEPT_MS = 300_000;
+    private static final double ANSWER_EARLY_MS = 30;
+    private static final double SWEEP_MS = 20;
+    private static final double FOLLOW_AGAIN_MS = 500;
 
     private final Host host;
     private final Random random;
     private final int fronts;
     private final String zone;
-    private final double overShareRevenue;
     private final int maxLegs;
     private final boolean mayCancel;
     private final boolean maySendCopies;
@@ -77,17 +83,25 @@
     private final double coldShare;
     private final double bornMs;
 
-    private final List<Engine> engines = new ArrayList<>();
-    private final List<Engine> readers = new ArrayList<>();
-    private final List<Engine> writers = new ArrayList<>();
+    private final Fleet fleet = new Fleet();
+    private final List<Engine> readers = fleet.readers;
+    private final List<Engine> writers = fleet.writers;
     private final List<Gen> open = new ArrayList<>();
-    private final List<Gen> waiting = new ArrayList<>();
-    private final LinkedHashSet<Text> texts = new LinkedHashSet<>();
     /** Tokens of generations that are being read and have no writer yet. */
     private double awaitingToks;
     private boolean wakeSet;
     private double askAtMs = Double.POSITIVE_INFINITY;
     private double beginMs = 100;
+    /** The best speed of late reads in tokens a millisecond, what a read had to read, what homes had kept. */
+    private final Ring speeds = new Ring(20, 1000);
+    private final Mean unreadParts = new Mean(20, 1000);
+    private final Mean unreadSizes = new Mean(20, 1000);
+    private final Mean homesKept = new Mean(20, 1000);
+    /** What engines told of late beside this front's own: readers' tokens, writers' tokens and streams. */
+    private final Mean toldUnread = new Mean(5, 1000);
+    private final Mean toldToks = new Mean(5, 1000);
+    private final Mean toldStreams = new Mean(5, 1000);
+    private final Mean writesSent = new Mean(10, 1000);
     /** Reads and answers that warm engines took of late. */
     private final Ring warmReads = new Ring(30, 1000);
     private final Ring warmWrites = new Ring(30, 1000);
@@ -97,7 +111,6 @@
         random = new Random(terms.seed);
         fronts = terms.fronts;
         zone = terms.zone;
-        overShareRevenue = terms.overShareRevenue;
         maxLegs = terms.maxLegs;
         mayCancel = terms.mayCancel;
         maySendCopies = terms.maySendCopies;
@@ -116,22 +129,7 @@
 
     public void arrived(Gen gen) {
         open.add(gen);
-        if (gen.account != null) {
-            double share = gen.account.quotaPerSecond / fronts * gen.account.inShare.spanMs() / 1000;
-            gen.overShare = gen.account.inShare.sum(host.now()) >= share;
-            if (!gen.overShare) {
-                gen.account.inShare.add(host.now(), 1);
-            }
-        }
-        touch(gen.session);
-        touch(gen.prefix);
-        // Danger: a client's retry looks like fresh work, though its SLO time runs from the first try.
-        if (gen.session != null && gen.session.askedToks == gen.promptToks) {
-            gen.firstTryMs = gen.session.firstTryMs;
-        } else if (gen.session != null) {
-            gen.session.askedToks = gen.promptToks;
-            gen.session.firstTryMs = gen.firstTryMs;
-        }
+        gen.chance = random.nextDouble();
         advance(gen);
         setWake();
     }
@@ -139,19 +137,27 @@
     public void readDone(Leg leg, int keptToks, Report report, boolean over) {
         Gen gen = leg.gen;
         heard(leg.engine, report);
-        leg.engine.readToks.add(host.now(), Math.max(gen.promptToks - keptToks, LEAST_READ_TOKS));
-        if (!isCold(leg.engine, host.now())) {
-            warmReads.add(host.now(), 1);
-        }
+        double now = host.now();
+        double unread = Math.max(gen.promptToks - keptToks, LEAST_READ_TOKS);
+        double speed = unread / Math.max(1, now - leg.sentMs);
+        leg.engine.speeds.raise(now, speed);
+        leg.engine.reads.add(now, 1);
+        speeds.raise(now, speed);
+        unreadParts.add(now, unread, gen.promptToks);
+        unreadSizes.add(now, unread, 1);
+        if (homes(gen).indexOf(leg.engine) == 0) {
+            homesKept.add(now, keptToks, gen.promptToks);
+        }
+        warmReads.add(now, isCold(leg.engine, now) ? 0 : 1);
         close(leg);
         gen.over |= over;
         if (gen.state == null) {
             gen.state = leg;
         }
-        if (gen.over || gen.begun || gen.isAtWriter()) {
+        if (gen.over || gen.begun) {
             // Danger: a read that ends after its generation would leave its state pinned.
             letGo(gen);
-        } else {
+        } else if (!gen.isAtWriter()) {
             cancelOthers(gen, leg);
             advance(gen);
         }
@@ -160,17 +166,14 @@
 
     public void begun(Leg leg) {
         Gen gen = leg.gen;
+        double now = host.now();
         heard(leg.engine, null);
-        if (leg.unreadToks > 0) {
-            leg.engine.readToks.add(host.now(), leg.unreadToks);
-            leg.markRead(host.now());
-        }
+        leg.markRead();
         gen.begun = true;
         gen.state = null;
-        if (!isCold(leg.engine, host.now())) {
-            warmWrites.add(host.now(), 1);
-        }
-        beginMs += 0.05 * (host.now() - leg.sentMs - beginMs);
+        gen.held = gen.legsOut > 1;
+        warmWrites.add(now, isCold(leg.engine, now) ? 0 : 1);
+        beginMs += 0.05 * (now - leg.sentMs - beginMs);
         cancelOthers(gen, leg);
     }
 
@@ -189,7 +192,7 @@
             case UNREACHABLE, CUT -> blame(engine);
             default -> { }
         }
-        if (gen.over || outcome == Outcome.NO_STATE) {
+        if (gen.over || gen.begun || outcome == Outcome.NO_STATE) {
             letGo(gen);
         }
         if (!gen.over && !gen.begun && !gen.waiting && gen.legsOut == 0) {
@@ -200,7 +203,7 @@
 
     public void departed(Gen gen) {
         gen.over = true;
-        leaveWait(gen);
+        gen.waiting = false;
         letGo(gen);
     }
 
@@ -210,45 +213,16 @@
         } else {
             blame(engine);
         }
+        admitWaiting();
     }
 
-    /** A complete list counts as news of the end of every engine that it lacks. */
     public void listed(List<Listing> entries, boolean complete) {
-        if (complete) {
-            for (Engine engine : engines) {
-                engine.mode = Mode.GONE;
-            }
-        }
-        for (Listing entry : entries) {
-            Engine engine = entry.engine();
-            if (!engines.contains(engine)) {
-                engines.add(engine);
-            }
-            if (entry.mode() == Mode.GONE) {
-                engine.mode = Mode.GONE;
-            } else {
-                // Danger: a new process under an old id keeps nothing of what the old one was known for.
-                if (engine.startMs != entry.startMs()) {
-                    engine.forgetProcess(host.now());
-                }
-                engine.take(entry);
-                engine.otherFronts = fronts - 1;
-            }
-        }
-        engines.removeIf(e -> e.mode == Mode.GONE && e.legs.isEmpty());
-        engines.sort(Comparator.comparingLong(e -> e.label));
-        readers.clear();
-        writers.clear();
-        for (Engine engine : engines) {
-            if (engine.mode == Mode.READY) {
-                (engine.role == Role.READER ? readers : writers).add(engine);
-            }
-        }
+        fleet.take(entries, complete, host.now());
         admitWaiting();
     }
 
     public void listFailed() {
-        askAtMs = host.now() + ASK_AGAIN_MS * (1 + random.nextDouble());
+        askAtMs = host.now() + FOLLOW_AGAIN_MS * (1 + random.nextDouble());
         setWake();
     }
 
@@ -261,17 +235,9 @@
         }
         open.removeIf(gen -> gen.over && gen.legsOut == 0);
         for (int i = 0; i < open.size(); i++) {
-            Gen gen = open.get(i);
-            if (!gen.over && !gen.begun) {
-                look(gen, now);
-            }
+            look(open.get(i), now);
         }
         admitWaiting();
-        while (!texts.isEmpty() && texts.iterator().next().usedMs < now - TEXT_KEPT_MS) {
-            Text old = texts.iterator().next();
-            texts.remove(old);
-            host.forget(old);
-        }
         setWake();
     }
 
@@ -281,13 +247,12 @@
     private void advance(Gen gen) {
         double now = host.now();
         // Danger: a generation that waits twice is sent twice, and the second send drops its state.
-        leaveWait(gen);
+        gen.waiting = false;
         if (now >= gen.limitMs - ANSWER_EARLY_MS) {
             giveUp(gen);
             return;
         }
-        if (gen.state != null && (gen.state.engine.mode == Mode.GONE
-                || gen.state.engine.startMs != gen.state.engineStartMs)) {
+        if (gen.state != null && gen.state.isLost()) {
             letGo(gen);
         }
         if (gen.state == null) {
@@ -295,9 +260,10 @@
                 giveUp(gen);
                 return;
             }
-            Engine reader = roomAnywhere(gen) ? pickReader(gen) : null;
+            Engine reader = !isAsking(gen) && roomAnywhere(gen) ? pickReader(gen) : null;
             if (reader == null) {
-                await(gen);
+                gen.waiting = true;
+                gen.leastReadToks = readers.stream().mapToDouble(e -> readToks(gen, e)).min().orElse(0);
                 return;
             }
             sendRead(gen, reader);
@@ -313,82 +279,82 @@
 
     private Engine pickReader(Gen gen) {
         double now = host.now();
-        List<Engine> all = fit(readers, gen);
-        List<Engine> fit = all;
+        List<Engine> fit = fit(readers, gen);
+        List<Engine> some = homes(gen);
+        some.retainAll(fit);
         Engine last = gen.session == null ? null : gen.session.keeper();
-        if (last != null && fit.contains(last) && backlogMs(last, now) <= ALPHA_MS) {
-            return last;
+        if (last == null || !fit.contains(last)) {
+            last = some.isEmpty() ? null : some.get(0);
+        } else if (!some.contains(last)) {
+            some.add(last);
         }
-        // Departure: short readers of the own zone come before the others, which cost a crossing.
-        List<Engine> near = new ArrayList<>(fit);
-        near.removeIf(e -> !e.zone.equals(zone) || backlogMs(e, now) > ALPHA_MS);
-        if (!near.isEmpty()) {
-            fit = near;
+        if (last != null && backlogMs(last, now) <= ALPHA_MS) {
+            return last;
         }
-        if (gen.prefix != null && !fit.isEmpty()) {
-            Engine hashed = Collections.max(fit, Comparator.comparingLong(gen.prefix::affinity));
-            if (backlogMs(hashed, now) <= ALPHA_MS) {
-                return hashed;
+        // Departure: only homes read, while any is fit. Danger: text read anew elsewhere doubles the work and
+        // drives other texts out, until every read is long. Where no reader is short, an engine that reads for
+        // itself takes prompt and answer.
+        some = some.isEmpty() ? fit : some;
+        double mean = writers.stream().mapToDouble(e -> streams(e) / e.units).average().orElse(0);
+        for (Engine engine : fit(writers, gen)) {
+            if ((engine.role == Role.BOTH || writersRead) && hasRoom(engine, gen)
+                    && backlogMs(engine, now) <= ALPHA_MS
+                    && streams(engine) <= SELF_READ_STREAMS * mean * engine.units) {
+                some.add(engine);
             }
         }
+        // Danger: fronts that go by one late report all stop and start at once; each generation has its own
+        // beta. A client's retry, which comes too late for full revenue, goes to short readers only.
+        double beta = ALPHA_MS + (gen.resent ? 0 : gen.chance) * (BETA_MS - ALPHA_MS);
         Engine best = null;
         double bestToks = 0;
-        boolean bestShort = false;
-        for (Engine engine : fit) {
+        int bestPlace = 0;
+        for (Engine engine : some) {
             double backlog = backlogMs(engine, now);
-            boolean isShort = backlog <= ALPHA_MS;
-            // Others' prompts count for the choice while their report is fresh.
-            double others = now - engine.heardMs < READ_REPORT_MS ? engine.othersUnreadToks : 0;
-            double toks = engine.unreadToks + others + readToks(gen, engine);
-            if (backlog <= BETA_MS && (best == null || isShort && !bestShort
-                    || isShort == bestShort && toks < bestToks)) {
+            boolean near = engine.zone.equals(zone);
+            int place = engine.role != Role.READER ? near ? 2 : 3 : backlog > ALPHA_MS ? 2 : near ? 0 : 1;
+            double unread = readToks(gen, engine);
+            double toks = unreadToks(engine, now) + unread;
+            double dueMs = now + backlog + unread * msPerTok(engine, now) + beginMs;
+            if (backlog <= beta && (gen.resent || dueMs < gen.sloAtMs()) && (best == null
+                    || place < bestPlace || place == bestPlace && toks < bestToks)) {
                 best = engine;
                 bestToks = toks;
-                bestShort = isShort;
+                bestPlace = place;
             }
         }
-        // Departure: a last reader that is not short still wins where reading all anew takes more tokens,
-        // and is waited for while overloaded. Danger: text read anew elsewhere doubles the work under load.
-        if (last != null && all.contains(last)
-                && (best == null || last.unreadToks + readToks(gen, last) < bestToks)) {
-            return backlogMs(last, now) <= BETA_MS ? last : null;
-        }
-        // Departure: every reader is overloaded or away; one that reads for itself takes prompt and answer.
-        return best != null ? best : pickSelfReader(gen);
+        // Departure: a last reader that is not short still wins where reading all anew takes more tokens.
+        boolean stays = best != null && last != null && backlogMs(last, now) <= beta
+                && unreadToks(last, now) + readToks(gen, last) < bestToks;
+        return stays ? last : best;
     }
 
     private Engine pickWriter(Gen gen) {
         List<Engine> fit = fit(writers, gen);
-        List<Engine> roomy = new ArrayList<>();
-        double room = 0;
-        double toks = 0;
-        double units = 0;
-        for (Engine engine : fit) {
-            if (hasRoom(engine, gen)) {
-                roomy.add(engine);
-                room += Math.max(0, roomToks(engine));
-                toks += engine.heldToks();
-                units += engine.units;
-            }
-        }
+        List<Engine> roomy = new ArrayList<>(fit);
+        roomy.removeIf(e -> !hasRoom(e, gen));
         if (roomy.isEmpty()) {
             return fewestToks(fit);
         }
-        double z = Z_MARGIN * (Math.min(awaitingToks + genToks(gen), room) + toks) / units;
+        double room = roomy.stream().mapToDouble(this::roomToks).sum();
+        double toks = roomy.stream().mapToDouble(this::heldToks).sum();
+        double units = roomy.stream().mapToDouble(e -> e.units).sum();
+        double awaiting = awaitingToks + genToks(gen);
+        double z = Z_MARGIN * ((room < awaiting ? room : awaiting) + toks) / units;
         List<Engine> norm = new ArrayList<>(roomy);
-        norm.removeIf(e -> e.toksPerUnit() > z);
+        norm.removeIf(e -> heldToks(e) / e.units > z);
         if (norm.isEmpty()) {
             return fewestToks(roomy);
         }
         // Departure: among those at or under Z with about the fewest streams, the nearest to the state.
-        double fewest = norm.stream().mapToDouble(Engine::streamsPerUnit).min().getAsDouble();
-        norm.removeIf(e -> e.streamsPerUnit() > fewest * NEAR_STREAMS_FACTOR + NEAR_STREAMS_MORE);
+        double fewest = norm.stream().mapToDouble(e -> streams(e) / e.units).min().getAsDouble();
+        norm.removeIf(e -> streams(e) / e.units > fewest * NEAR_STREAMS_FACTOR + NEAR_STREAMS_MORE);
         return Collections.min(norm, Comparator.comparingInt((Engine e) -> distance(gen.state.engine, e))
-                .thenComparingDouble(Engine::streamsPerUnit));
+                .thenComparingDouble(e -> streams(e) / e.units));
     }
 
-    private static Engine fewestToks(List<Engine> pool) {
-        return pool.stream().min(Comparator.comparingDouble(Engine::toksPerUnit)).orElse(null);
+    private Engine fewestToks(List<Engine> pool) {
+        return pool.stream().min(Comparator.comparingDouble(e -> heldToks(e) / e.units)).orElse(null);
     }
 
     /** What a move of the read state costs: 0 within the rack, 1 within the zone, 2 across zones. */
@@ -396,33 +362,20 @@
         return !reader.zone.equals(writer.zone) ? 2 : reader.rack != writer.rack ? 1 : 0;
     }
 
-    private Engine pickSelfReader(Gen gen) {
-        List<Engine> fit = fit(writers, gen);
-        fit.removeIf(e -> e.role != Role.BOTH && !writersRead || !hasRoom(e, gen) || e.unreadToks > 0
-                || e.busyMs.sum(host.now()) > SELF_READ_SHARE / fronts * e.busyMs.spanMs());
-        return fewestToks(fit);
-    }
-
     // ------------------------------------------------------------------ waiting and giving up
 
-    private void await(Gen gen) {
-        gen.waiting = true;
-        waiting.add(gen);
-        gen.leastReadToks = gen.promptToks;
-        for (Engine reader : readers) {
-            gen.leastReadToks = Math.min(gen.leastReadToks, readToks(gen, reader));
-        }
-    }
-
     /**
      * Danger: first come, first served under shortage serves everyone just too late. The most revenue for its
      * work goes first, the newest first among equals, and what can no longer make its SLO time is given up.
      */
     private void admitWaiting() {
-        List<Gen> order = new ArrayList<>(waiting);
-        order.sort(Comparator.comparingDouble(this::rank).thenComparingDouble(g -> g.arrivedMs).reversed());
+        List<Gen> order = new ArrayList<>(open);
+        order.removeIf(g -> !g.waiting);
+        order.sort(Comparator.comparingDouble((Gen g) -> g.product.revenue * (g.resent ? g.product.lateRevenue : 1))
+                .thenComparingDouble(g -> g.arrivedMs).reversed());
+        double now = host.now();
         for (Gen gen : order) {
-            if (isHopeless(gen, host.now())) {
+            if (now + gen.leastReadToks * msPerTok(null, now) + beginMs > gen.sloAtMs()) {
                 giveUp(gen);
             } else {
                 advance(gen);
@@ -430,37 +383,26 @@
         }
     }
 
-    private void leaveWait(Gen gen) {
-        if (gen.waiting) {
-            gen.waiting = false;
-            waiting.remove(gen);
-        }
-    }
-
-    private double rank(Gen gen) {
-        return gen.product.revenue * (gen.overShare ? overShareRevenue : 1)
-                * (gen.resent ? gen.product.lateRevenue : 1);
-    }
-
-    private boolean isHopeless(Gen gen, double now) {
-        return now + gen.leastReadToks * msPerTok(null, now) + beginMs > gen.sloAtMs();
-    }
-
     private void giveUp(Gen gen) {
         cancelOthers(gen, null);
         departed(gen);
-        if (mayThrottle(gen)) {
+        // Rule 2: throttled says that trying again is harmless.
+        if (gen.product.effect == Effect.IDEMPOTENT
+                || gen.product.effect == Effect.DEDUPLICATED && gen.product.span == Span.ALL
+                || gen.legs.stream().noneMatch(Leg::mayHaveRun)) {
             host.throttle(gen, comeBackMaxMs <= 0 ? 0 : comeBackMaxMs * (0.3 + 0.7 * random.nextDouble()));
         } else {
             host.terminate(gen);
         }
     }
 
+    /** Danger: a release frees nothing that a leg still out may take, and so is said again after that. */
     private void letGo(Gen gen) {
-        if (gen.state != null) {
-            gen.state = null;
+        if (gen.held) {
+            gen.held = gen.legsOut > 0;
             host.release(gen);
         }
+        gen.state = null;
     }
 
     // ------------------------------------------------------------------ legs
@@ -470,9 +412,11 @@
         double unread = readToks(gen, reader);
         boolean alone = reader.role != Role.READER;
         Leg leg = new Leg(gen, reader, !alone, now, alone ? genToks(gen) : unread, unread);
-        awaitingToks += alone ? 0 : genToks(gen);
-        double dueMs = (reader.unreadToks + unread) * msPerTok(reader, now);
+        double dueMs = (unreadToks(reader, now) + unread) * msPerTok(reader, now);
         leg.patienceMs = (alone ? OVERDUE_WRITE_MS : OVERDUE_READ_MS) + OVERDUE_FACTOR * dueMs;
+        // Danger: a read whose answer is lost leaves a state that no outcome tells of.
+        gen.held = true;
+        awaitingToks += alone ? 0 : genToks(gen);
         if (gen.session != null) {
             gen.session.sentTo(reader, gen.promptToks, now);
         }
@@ -480,23 +424,32 @@
             gen.prefix.sentTo(reader, gen.sharedToks, now);
         }
         send(leg);
-        if (!alone) {
-            ask(writers, WRITERS_ASKED);
+        for (int i = 0; i < WRITERS_ASKED && !alone && !writers.isEmpty(); i++) {
+            ask(writers.get(random.nextInt(writers.size())));
         }
     }
 
+    /** Whether the readers that would come first for a generation are still to answer for their load. */
+    private boolean isAsking(Gen gen) {
+        double now = host.now();
+        if (now - gen.askedMs > ASK_AGAIN_MS) {
+            gen.askedMs = now;
+            gen.asked.clear();
+            gen.asked.addAll(homes(gen).subList(0, Math.min(READERS_ASKED, homes(gen).size())));
+            gen.asked.forEach(this::ask);
+        }
+        return mayProbe && now < gen.askedMs + ASK_WAIT_MS
+                && gen.asked.stream().anyMatch(e -> e.reportMs < e.probedMs);
+    }
+
     /**
-     * Asks a few engines for their load. Danger: fronts that ask on a clock ask as often as there are fronts;
-     * asks that follow generations stay the same few for each, and chance keeps fronts from one common pick.
+     * Danger: fronts that ask on a clock ask as often as there are fronts; asks that follow generations stay
+     * the same few for each, and chance keeps fronts from one common pick.
      */
-    private void ask(List<Engine> pool, int most) {
-        double now = host.now();
-        for (int i = 0; mayProbe && i < Math.min(most, pool.size()); i++) {
-            Engine engine = pool.get(random.nextInt(pool.size()));
-            if (now - Math.max(engine.probedMs, engine.reportMs) > FRESH_MS) {
-                engine.probedMs = now;
-                host.probe(engine);
-            }
+    private void ask(Engine engine) {
+        if (mayProbe && host.now() - Math.max(engine.probedMs, engine.reportMs) > FRESH_MS) {
+            engine.probedMs = host.now();
+            host.probe(engine);
         }
     }
 
@@ -512,15 +465,14 @@
         if (!leg.read) {
             engine.freshToks.add(now, leg.toks);
             engine.freshStreams.add(now, 1);
+            writesSent.add(now, leg.toks, 1);
         }
-        leg.open(now);
+        leg.open();
         host.send(leg);
     }
 
     private void close(Leg leg) {
-        if (leg.close(host.now()) && leg.read) {
-            awaitingToks = Math.max(0, awaitingToks - genToks(leg.gen));
-        }
+        awaitingToks = Math.max(0, awaitingToks - (leg.close() && leg.read ? genToks(leg.gen) : 0));
     }
 
     private void cancelOthers(Gen gen, Leg kept) {
@@ -532,38 +484,41 @@
         }
     }
 
-    /** The regular look at a generation that has not begun to stream. */
+    /** The regular look at a generation: its limit, its steps left undone, and the silence of its engine. */
     private void look(Gen gen, double now) {
+        if (gen.over || gen.begun) {
+            return;
+        }
         if (now >= gen.limitMs - ANSWER_EARLY_MS) {
             giveUp(gen);
-        } else if (gen.waiting) {
-            return;
-        } else if (gen.legsOut == 0) {
+        } else if (gen.legsOut == 0 && !gen.waiting) {
             advance(gen);
-        } else if (gen.product.effect == Effect.IDEMPOTENT && mayCancel && maySendCopies
+        } else if (gen.legsOut > 0 && gen.product.effect == Effect.IDEMPOTENT && mayCancel && maySendCopies
                 && gen.legs.size() + (gen.state == null ? 2 : 1) <= maxLegs) {
             Leg leg = gen.legs.get(gen.legs.size() - 1);
-            // Danger: an engine that takes work and falls silent would keep it until the client leaves.
             double silentMs = now - Math.max(leg.engine.heardMs, leg.sentMs);
             if (leg.out && !leg.cancelled && silentMs > leg.patienceMs) {
-                blame(leg.engine);
-                // A second read beside the first: calling off one that only takes long would waste it. An
-                // answer that waits for its writer moves only where there is room, or it would queue anew.
-                Engine other = gen.state != null ? pickWriter(gen)
-                        : roomAnywhere(gen) ? pickReader(gen) : null;
-                if (other == null || other == leg.engine || gen.state != null && !hasRoom(other, gen)) {
-                    return;
-                }
-                if (gen.state != null) {
-                    cancelOthers(gen, null);
-                    sendWrite(gen, other);
-                } else {
-                    sendRead(gen, other);
-                }
+                overdue(gen, leg);
             }
         }
     }
 
+    /**
+     * Danger: an engine that takes work and falls silent would keep it until the client leaves. A read gets a
+     * second one beside it, since calling off one that only takes long would waste it; an answer that waits
+     * for its writer moves only where there is room, or it would queue anew.
+     */
+    private void overdue(Gen gen, Leg leg) {
+        blame(leg.engine);
+        Engine other = gen.state != null ? pickWriter(gen) : roomAnywhere(gen) ? pickReader(gen) : null;
+        if (other != null && other != leg.engine && gen.state == null) {
+            sendRead(gen, other);
+        } else if (other != null && other != leg.engine && hasRoom(other, gen)) {
+            cancelOthers(gen, null);
+            sendWrite(gen, other);
+        }
+    }
+
     // ------------------------------------------------------------------ rules
 
     /** Rule 2: whether one more leg to this writer could not repeat an effect. */
@@ -585,29 +540,22 @@
         return true;
     }
 
-    private static boolean mayThrottle(Gen gen) {
-        return gen.product.effect == Effect.IDEMPOTENT
-                || gen.product.effect == Effect.DEDUPLICATED && gen.product.span == Span.ALL
-                || gen.legs.stream().noneMatch(Leg::mayHaveRun);
-    }
-
     private boolean isCold(Engine engine, double now) {
         return engine.startMs > 0 && now < engine.startMs + coldMs;
     }
 
     /**
-     * Rule 4: a chance draw whose mean over all fronts is the part of the budget that a cold engine may get, by
-     * what warm peers take. Danger: one leg a front is already too much where there are many fronts, and an
+     * Rule 4: a chance draw whose mean over all fronts is the part of the budget that a cold engine may get,
+     * by what warm peers take. Danger: one leg a front is too much where there are many fronts, and an
      * idle new engine looks best to all of them at once; no draw is worth more than the time since the last.
      */
     private boolean coldDraw(Engine engine, double now) {
         boolean reads = engine.role == Role.READER;
-        double units = 0;
-        for (Engine peer : reads ? readers : writers) {
-            units += isCold(peer, now) ? 0 : peer.units;
-        }
+        double units = (reads ? readers : writers).stream().filter(e -> !isCold(e, now))
+                .mapToDouble(e -> e.units).sum();
         Ring taken = reads ? warmReads : warmWrites;
-        double perMs = taken.sum(now) / Math.min(taken.spanMs(), now - bornMs + 1) / Math.max(units, engine.units);
+        double spanMs = Math.min(taken.spanMs(), now - bornMs + 1);
+        double perMs = taken.sum(now) / spanMs / Math.max(units, engine.units);
         double sinceMs = now - Math.max(engine.drawnMs, engine.startMs);
         engine.drawnMs = now;
         return random.nextDouble() < coldShare * perMs * engine.units * sinceMs;
@@ -618,10 +566,7 @@
     private List<Engine> fit(List<Engine> pool, Gen gen) {
         double now = host.now();
         List<Engine> fit = new ArrayList<>(pool.size());
-        boolean anySound = false;
-        for (Engine engine : pool) {
-            anySound |= isSound(engine, now);
-        }
+        boolean anySound = pool.stream().anyMatch(e -> isSound(e, now));
         for (Engine engine : pool) {
             // All suspect = none suspect: doubt must never empty a pool.
             if ((isSound(engine, now) || !anySound) && mayRunAt(gen, engine)
@@ -642,70 +587,128 @@
         engine.suspectUntilMs = 0;
         engine.suspectForMs = 0;
         engine.onTrial = false;
-        if (report != null) {
-            engine.reports = true;
-            engine.reportMs = now;
-            engine.othersUnreadToks = Math.max(0, orZero(report.toRead()) - engine.unreadToks);
-            engine.toldToks = Math.max(0, engine.writeToks - engine.freshToks.sum(now));
-            engine.toldStreams = Math.max(0, engine.streams - engine.freshStreams.sum(now));
-            // Danger: a full writer's memory share says nothing of the states that queue for it.
-            double toks = report.heldShare() * engine.memoryToks + orZero(report.toRead()) - engine.toldToks;
-            double streams = report.inflight() - engine.toldStreams;
-            engine.othersToks += REPORT_WEIGHT * (Math.max(0, orZero(toks)) - engine.othersToks);
-            engine.othersStreams += REPORT_WEIGHT * (Math.max(0, orZero(streams)) - engine.othersStreams);
+        if (report == null) {
+            return;
         }
+        double kept = REPORT_KEPT * Math.exp((engine.reportMs - now) / WRITE_REPORT_MS);
+        engine.reports = true;
+        engine.reportMs = now;
+        if (engine.role == Role.READER) {
+            // Reports count whole prompts, also what is kept of them, but not what is left while being read.
+            double halfRead = orZero(report.inflight() - orZero(report.queue())) * BEING_READ;
+            double unread = orZero(report.toRead()) * unreadParts.at(now) + halfRead * unreadSizes.at(now);
+            engine.othersUnreadToks = Math.max(0, unread - engine.unreadToks);
+            toldUnread.add(now, engine.othersUnreadToks, 1);
+            return;
+        }
+        engine.othersUnreadToks = Math.max(0, orZero(report.toRead()) - engine.unreadToks);
+        engine.toldStreams = Math.max(0, engine.streams - engine.freshStreams.sum(now));
+        double own = Math.max(0, engine.writeToks - engine.freshToks.sum(now));
+        // Danger: a full writer's memory share says nothing of the states that queue for it.
+        double toks = orZero(report.heldShare() * engine.memoryToks + orZero(report.toRead()) - own);
+        double streams = orZero(report.inflight() - engine.toldStreams);
+        engine.othersToks += (1 - kept) * (Math.max(0, toks) - engine.othersToks);
+        engine.othersStreams += (1 - kept) * (Math.max(0, streams) - engine.othersStreams);
+        toldToks.add(now, engine.othersToks, engine.units);
+        toldStreams.add(now, engine.othersStreams, engine.units);
     }
 
     private void blame(Engine engine) {
         double now = host.now();
-        if (now < engine.suspectUntilMs) {
-            return;
+        if (now >= engine.suspectUntilMs) {
+            double forMs = Math.max(SUSPECT_FIRST_MS, 2 * engine.suspectForMs);
+            engine.suspectForMs = Math.min(SUSPECT_MOST_MS, forMs);
+            engine.suspectUntilMs = now + engine.suspectForMs * (0.75 + 0.5 * random.nextDouble());
+            engine.onTrial = true;
+            host.log("engine " + engine.label + " suspect for " + Math.round(engine.suspectForMs) + " ms");
         }
-        engine.suspectForMs = Math.min(SUSPECT_MOST_MS, Math.max(SUSPECT_FIRST_MS, 2 * engine.suspectForMs));
-        engine.suspectUntilMs = now + engine.suspectForMs * (0.75 + 0.5 * random.nextDouble());
-        engine.onTrial = true;
-        host.log("engine " + engine.label + " suspect for " + Math.round(engine.suspectForMs) + " ms");
     }
 
     /** Own unread tokens in time; never less than how long the engine has been silent over them. */
     private double backlogMs(Engine engine, double now) {
         double since = engine.unreadSinceMs();
-        if (Double.isNaN(since)) {
-            return 0;
-        }
-        double silent = now - Math.max(engine.heardMs, since);
-        return Math.max(engine.unreadToks * msPerTok(engine, now), silent);
+        double silent = Double.isNaN(since) ? 0 : now - Math.max(engine.heardMs, since);
+        return Math.max(unreadToks(engine, now) * msPerTok(engine, now), silent);
     }
 
+    /** Own unread tokens there and, by a fresh report, the others'; a front's own sends are but a sliver. */
+    private double unreadToks(Engine engine, double now) {
+        double weight = Math.exp((engine.reportMs - now) / READ_REPORT_MS);
+        return engine.unreadToks + weight * engine.othersUnreadToks
+                + (engine.role == Role.READER ? (1 - weight) * toldUnread.at(now) : 0);
+    }
+
+    /** By the best of late, which no queue has slowed: a mean would count others' prompts twice. */
     private double msPerTok(Engine engine, double now) {
-        double toks = engine == null ? 0 : engine.readToks.sum(now);
-        if (toks >= BELIEVED_TOKS) {
-            return engine.busyMs.sum(now) / toks;
-        }
-        double busy = 0;
-        toks = 0;
-        for (Engine peer : readers) {
-            busy += peer.busyMs.sum(now);
-            toks += peer.readToks.sum(now);
-        }
-        return toks >= BELIEVED_TOKS ? busy / toks : UNHEARD_MS_PER_TOK;
+        double speed = engine != null && engine.reads.sum(now) >= OWN_READS
+                ? engine.speeds.most(now) : speeds.most(now);
+        return 1 / (speed > 0 ? speed : UNHEARD_TOKS_PER_MS);
     }
 
     private double readToks(Gen gen, Engine reader) {
         int kept = Math.max(gen.prefix == null ? 0 : Math.min(gen.prefix.toksAt(reader), gen.sharedToks),
                 gen.session == null ? 0 : Math.min(gen.session.toksAt(reader), gen.promptToks));
+        List<Engine> homes = homes(gen);
+        if (homes.contains(reader)) {
+            kept = Math.max(kept, reader == homes.get(0)
+                    ? (int) (homesKept.at(host.now()) * gen.promptToks) : gen.sharedToks);
+        }
         return Math.max(gen.promptToks - kept, LEAST_READ_TOKS);
     }
 
-    /** Room for this one beside all that this front has being read. */
-    private boolean roomAnywhere(Gen gen) {
-        double room = writers.isEmpty() ? Double.NaN : 0;
-        for (Engine engine : writers) {
-            if (hasRoom(engine, gen)) {
-                room += roomToks(engine);
+    /**
+     * The readers that the hashes of prefix and session name, alike at all fronts, so that others will have
+     * sent the texts there: a prefix has a few homes in each zone, a session prefers one of them.
+     */
+    private List<Engine> homes(Gen gen) {
+        Text first = gen.prefix != null ? gen.prefix : gen.session;
+        if (gen.homesOfList != fleet.lists && first != null) {
+            gen.homesOfList = fleet.lists;
+            gen.homes.clear();
+            List<Engine> order = new ArrayList<>(readers);
+            order.sort(Comparator.comparingLong(first::affinity).reversed());
+            for (Engine reader : order) {
+                if (gen.homes.stream().filter(e -> e.zone.equals(reader.zone)).count() < HOMES) {
+                    gen.homes.add(reader);
+                }
             }
+            Text text = gen.session != null ? gen.session : first;
+            gen.homes.sort(Comparator.comparing((Engine e) -> !e.zone.equals(zone))
+                    .thenComparing(Comparator.comparingLong(text::affinity).reversed()));
         }
-        return !(room < awaitingToks + genToks(gen));
+        return new ArrayList<>(gen.homes);
+    }
+
+    /** Tokens held there as far as is known. */
+    private double heldToks(Engine engine) {
+        double now = host.now();
+        return present(engine, engine.writeToks, engine.othersToks, toldToks, writesSent.at(now));
+    }
+
+    private double streams(Engine engine) {
+        return present(engine, engine.streams, engine.othersStreams, toldStreams, 1);
+    }
+
+    /**
+     * A load as it may be now: the own part, the others' by a report that fades into what writers usually
+     * tell, and the others' sends since. Danger: each own send counted as one of every front makes one send
+     * outweigh all reports; the more fronts there are, the less a front's own few sends tell of the others.
+     */
+    private double present(Engine engine, double own, double others, Mean told, double each) {
+        double now = host.now();
+        double weight = Math.exp((engine.reportMs - now) / WRITE_REPORT_MS);
+        double usual = told.at(now) * engine.units;
+        double sinceMs = Math.min(now - engine.reportMs, WRITE_REPORT_MS);
+        double share = writesSent.weight(now) / writesSent.spanMs() * sinceMs / writers.size();
+        double since = Math.max(0, engine.streams - engine.toldStreams);
+        double more = (fronts - 1) * share * (since - share) / (LIKE_OTHERS + share);
+        return own + Math.max(0, weight * others + (1 - weight) * usual + more * each);
+    }
+
+    /** Room for this one beside all that this front has being read. */
+    private boolean roomAnywhere(Gen gen) {
+        double room = writers.stream().filter(e -> hasRoom(e, gen)).mapToDouble(this::roomToks).sum();
+        return writers.isEmpty() || !(room < awaitingToks + genToks(gen));
     }
 
     private boolean hasRoom(Engine engine, Gen gen) {
@@ -714,7 +717,7 @@
 
     /** NaN where the memory is not known. */
     private double roomToks(Engine engine) {
-        return engine.memoryToks * USABLE_MEMORY - engine.heldToks();
+        return engine.memoryToks - heldToks(engine);
     }
 
     private static double genToks(Gen gen) {
@@ -726,14 +729,6 @@
         return Double.isNaN(value) ? 0 : value;
     }
 
-    private void touch(Text text) {
-        if (text != null) {
-            texts.remove(text);
-            text.usedMs = host.now();
-            texts.add(text);
-        }
-    }
-
     private void setWake() {
         if (!wakeSet && (!open.isEmpty() || askAtMs < Double.POSITIVE_INFINITY)) {
             wakeSet = true;
--- a/src/main/java/larchridge/Host.java
+++ b/src/main/java/larchridge/Host.java
@@ -3,7 +3,6 @@
 import larchridge.state.Engine;
 import larchridge.state.Gen;
 import larchridge.state.Leg;
-import larchridge.state.Text;
 
 /** What the decision module can do to the world around it. Times are milliseconds. */
 public interface Host {
@@ -33,8 +32,5 @@
     /** Asks the engine list for its changes from now on. */
     void followList();
 
-    /** Drops a text that the module no longer points to. */
-    void forget(Text text);
-
     void log(String line);
 }
--- a/src/main/java/larchridge/state/Engine.java
+++ b/src/main/java/larchridge/state/Engine.java
@@ -22,9 +22,9 @@
     public double writeToks;
     public int streams;
 
-    public final Ring readToks = new Ring(12, 500);
-    public final Ring busyMs = new Ring(12, 500);
-    public double busyMarkMs;
+    /** Reads that ended there of late, and the best of their speeds in tokens a millisecond. */
+    public final Ring reads = new Ring(10, 1000);
+    public final Ring speeds = new Ring(10, 1000);
 
     /** Whether this process has told its load. */
     public boolean reports;
@@ -34,11 +34,8 @@
     /** Own answers' tokens sent so lately that no report tells of them yet. */
     public final Ring freshToks = new Ring(5, 100);
     public final Ring freshStreams = new Ring(5, 100);
-    /** Own tokens and streams that the last report counted. */
-    public double toldToks;
+    /** Own streams that the last report counted. */
     public double toldStreams;
-    /** How many fronts are taken to send as this one does while no report tells of them. */
-    public int otherFronts;
     public double othersStreams;
     public double probedMs = Double.NEGATIVE_INFINITY;
     public double reportMs = Double.NEGATIVE_INFINITY;
@@ -59,14 +56,6 @@
         this.label = label;
     }
 
-    /** Books the time since the last call in which this front had prompts there to read. */
-    public void settleBusy(double nowMs) {
-        if (unreadToks > 0) {
-            busyMs.add(nowMs, nowMs - busyMarkMs);
-        }
-        busyMarkMs = nowMs;
-    }
-
     /** When the oldest leg with an unread prompt was sent there; NaN if there is none. */
     public double unreadSinceMs() {
         for (Leg leg : legs) {
@@ -77,19 +66,6 @@
         return Double.NaN;
     }
 
-    /** Tokens held there as far as is known; others are taken to have sent like this front since told. */
-    public double heldToks() {
-        return writeToks + othersToks + otherFronts * Math.max(0, writeToks - toldToks);
-    }
-
-    public double toksPerUnit() {
-        return heldToks() / units;
-    }
-
-    public double streamsPerUnit() {
-        return (streams + othersStreams + otherFronts * Math.max(0, streams - toldStreams)) / units;
-    }
-
     public void take(Listing entry) {
         mode = entry.mode();
         startMs = entry.startMs();
@@ -103,11 +79,10 @@
     /** Drops what was learned of a process that has ended. */
     public void forgetProcess(double nowMs) {
         textsSinceMs = nowMs;
-        readToks.clear();
-        busyMs.clear();
+        reads.clear();
+        speeds.clear();
         othersToks = 0;
         othersStreams = 0;
-        toldToks = 0;
         toldStreams = 0;
         reports = false;
         reportMs = Double.NEGATIVE_INFINITY;
--- a/src/main/java/larchridge/state/Gen.java
+++ b/src/main/java/larchridge/state/Gen.java
@@ -25,11 +25,17 @@
     public boolean begun;
     /** The leg whose read state waits to be fetched, or null. */
     public Leg state;
+    /** Whether a state may be held for it anywhere. */
+    public boolean held;
     public boolean waiting;
-    /** When its client asked first, as far as is known. */
-    public double firstTryMs;
-    /** Whether its account had used up its share when it came. */
-    public boolean overShare;
+    /** The readers whose load was asked for it, and when. */
+    public final List<Engine> asked = new ArrayList<>(2);
+    public double askedMs = Double.NEGATIVE_INFINITY;
+    /** The readers that hashes name for it, best first, by which list. */
+    public final List<Engine> homes = new ArrayList<>(4);
+    public int homesOfList = -1;
+    /** A draw between 0 and 1 that stays with it. */
+    public double chance;
     /** The fewest tokens that any reader must read for it. */
     public double leastReadToks;
 
@@ -48,11 +54,10 @@
         this.resent = resent;
         this.arrivedMs = arrivedMs;
         this.limitMs = limitMs;
-        this.firstTryMs = arrivedMs;
     }
 
     public double sloAtMs() {
-        return firstTryMs + product.sloMs + product.sloMsPerTok * promptToks;
+        return arrivedMs + product.sloMs + product.sloMsPerTok * promptToks;
     }
 
     /** Whether a leg at a writer is out and not called off. */
--- a/src/main/java/larchridge/state/Leg.java
+++ b/src/main/java/larchridge/state/Leg.java
@@ -35,11 +35,15 @@
         return !read && (outcome == null || !outcome.neverRan);
     }
 
+    /** Whether what it left at its engine is gone with the engine or its process. */
+    public boolean isLost() {
+        return engine.mode == Mode.GONE || engine.startMs != engineStartMs;
+    }
+
     /** Counts this leg at its generation and engine. */
-    public void open(double nowMs) {
+    public void open() {
         gen.legs.add(this);
         gen.legsOut++;
-        engine.settleBusy(nowMs);
         engine.legs.add(this);
         engine.unreadToks += unreadToks;
         if (!read) {
@@ -49,20 +53,19 @@
     }
 
     /** Takes its prompt off what is unread there. */
-    public void markRead(double nowMs) {
-        engine.settleBusy(nowMs);
+    public void markRead() {
         engine.unreadToks = Math.max(0, engine.unreadToks - unreadToks);
         unreadToks = 0;
     }
 
     /** Takes this leg off the counts; false if that was done before. */
-    public boolean close(double nowMs) {
+    public boolean close() {
         if (!out) {
             return false;
         }
         out = false;
         gen.legsOut--;
-        markRead(nowMs);
+        markRead();
         engine.legs.remove(this);
         if (!read) {
             engine.writeToks = engine.legs.isEmpty() ? 0 : Math.max(0, engine.writeToks - toks);
--- a/src/main/java/larchridge/state/Ring.java
+++ b/src/main/java/larchridge/state/Ring.java
@@ -16,6 +16,19 @@
         sums[(int) Math.floorMod(newest, (long) sums.length)] += amount;
     }
 
+    /** Keeps the highest amount of the running bucket. */
+    public void raise(double nowMs, double amount) {
+        turnTo(nowMs);
+        int i = (int) Math.floorMod(newest, (long) sums.length);
+        sums[i] = Math.max(sums[i], amount);
+    }
+
+    /** The highest bucket of the last full span of the ring. */
+    public double most(double nowMs) {
+        turnTo(nowMs);
+        return java.util.Arrays.stream(sums).max().getAsDouble();
+    }
+
     /** The sum over the last full span of the ring, the running bucket included. */
     public double sum(double nowMs) {
         turnTo(nowMs);
--- a/src/main/java/larchridge/state/Text.java
+++ b/src/main/java/larchridge/state/Text.java
@@ -6,10 +6,6 @@
 /** A text that readers may have kept: a session's prompts so far, or a beginning that sessions share. */
 public final class Text {
     public final String label;
-    public double usedMs;
-    /** The newest prompt of a session, and when it was asked first. */
-    public int askedToks;
-    public double firstTryMs;
     private final List<Copy> copies = new ArrayList<>(2);
 
     private record Copy(Engine engine, double sentMs, int toks) { }
