--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -292,8 +292,8 @@
             return last;
         }
         // Departure: only homes read, while any is fit. Danger: text read anew elsewhere doubles the work and
-        // drives other texts out, until every read is long. Where no reader is short, an engine that reads for
-        // itself takes prompt and answer.
+        // drives other texts out, until every read is long. Where no reader is short, an engine that reads
+        // for itself takes prompt and answer.
         some = some.isEmpty() ? fit : some;
         double mean = writers.stream().mapToDouble(e -> streams(e) / e.units).average().orElse(0);
         for (Engine engine : fit(writers, gen)) {
@@ -371,7 +371,8 @@
     private void admitWaiting() {
         List<Gen> order = new ArrayList<>(open);
         order.removeIf(g -> !g.waiting);
-        order.sort(Comparator.comparingDouble((Gen g) -> g.product.revenue * (g.resent ? g.product.lateRevenue : 1))
+        order.sort(Comparator.comparingDouble(
+                        (Gen g) -> g.product.revenue * (g.resent ? g.product.lateRevenue : 1))
                 .thenComparingDouble(g -> g.arrivedMs).reversed());
         double now = host.now();
         for (Gen gen : order) {
