--- /dev/null
+++ b/src/test/java/larchridge/enginelink/VerdictTest.java
@@ -0,0 +1,90 @@
+package larchridge.enginelink;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import larchridge.state.Outcome;
+import org.junit.jupiter.api.Test;
+
+class VerdictTest {
+    private final Verdict verdict = new Verdict();
+
+    private void answered(int status, String code) {
+        verdict.written();
+        verdict.answered(status);
+        verdict.errorCode(code);
+        verdict.clean();
+    }
+
+    @Test
+    void neverWrittenIsProofOfNoRun() {
+        assertEquals(Outcome.UNREACHABLE, verdict.outcome());
+        verdict.called(false);
+        assertEquals(Outcome.NOT_SENT, verdict.outcome());
+    }
+
+    @Test
+    void closedBeforeAnyByteMayHaveRun() {
+        verdict.written();
+        assertEquals(Outcome.CUT, verdict.outcome());
+    }
+
+    @Test
+    void fullOnlyWhereTheWholeRefusalCame() {
+        verdict.written();
+        verdict.answered(503);
+        assertEquals(Outcome.CUT, verdict.outcome());
+        verdict.clean();
+        assertEquals(Outcome.FULL, verdict.outcome());
+    }
+
+    @Test
+    void stateUnknownOnlyInTheEnginesOwnWord() {
+        answered(404, "not_found");
+        assertEquals(Outcome.FAULT, verdict.outcome());
+        verdict.errorCode(Verdict.STATE_UNKNOWN);
+        assertEquals(Outcome.NO_STATE, verdict.outcome());
+    }
+
+    @Test
+    void serverErrorMayHaveRun() {
+        answered(500, null);
+        assertEquals(Outcome.FAULT, verdict.outcome());
+    }
+
+    @Test
+    void streamThatEndsEarlyIsCutAlsoIfCleanly() {
+        answered(200, null);
+        assertEquals(Outcome.CUT, verdict.outcome());
+    }
+
+    @Test
+    void brokenAfterTheLastTokenIsWhole() {
+        verdict.written();
+        verdict.answered(200);
+        verdict.finished();
+        assertEquals(Outcome.STREAMED, verdict.outcome());
+    }
+
+    @Test
+    void calledOffAfterTheLastTokenIsWhole() {
+        verdict.written();
+        verdict.answered(200);
+        verdict.finished();
+        verdict.called(false);
+        assertEquals(Outcome.STREAMED, verdict.outcome());
+    }
+
+    @Test
+    void timeUpAndCalledOffMayHaveRun() {
+        verdict.written();
+        verdict.called(true);
+        assertEquals(Outcome.TIMED_OUT, verdict.outcome());
+    }
+
+    @Test
+    void garbageMayHaveRun() {
+        answered(200, null);
+        verdict.garbled();
+        assertEquals(Outcome.FAULT, verdict.outcome());
+    }
+}
--- /dev/null
+++ b/src/test/java/larchridge/front/PatienceTest.java
@@ -0,0 +1,39 @@
+package larchridge.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import larchridge.site.Offer;
+import larchridge.state.Effect;
+import larchridge.state.Product;
+import larchridge.state.Span;
+import org.junit.jupiter.api.Test;
+
+class PatienceTest {
+    private final Offer offer = new Offer(new Product("p", Effect.IDEMPOTENT, Span.ALL, 0, 1, 0, 1000, 0, 50), "",
+            5000, 1, 100);
+
+    @Test
+    void streamWaitsAsTheProductSaysForItsFirstTokenOnly() {
+        Patience patience = Patience.of(offer, 200, 100, false, Double.POSITIVE_INFINITY);
+        assertEquals(5200, patience.firstTokMs);
+        assertTrue(Double.isInfinite(patience.wholeMs));
+    }
+
+    @Test
+    void lessPatientClientIsAnsweredBeforeItLeaves() {
+        assertTrue(Patience.of(offer, 200, 100, false, 900).firstTokMs < 900);
+    }
+
+    @Test
+    void wholeAnswerMustEndBeforeTheClientDoes() {
+        Patience patience = Patience.of(offer, 0, 100, true, 3000);
+        assertTrue(patience.wholeMs < 3000);
+        assertTrue(patience.firstTokMs <= patience.wholeMs);
+    }
+
+    @Test
+    void patienceIsNeverNegative() {
+        assertEquals(0, Patience.of(offer, 0, 100, true, 0).wholeMs);
+    }
+}
--- /dev/null
+++ b/src/test/java/larchridge/site/SiteReaderTest.java
@@ -0,0 +1,89 @@
+package larchridge.site;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class SiteReaderTest {
+    private static final String GOOD = """
+            listen { host: "127.0.0.1" port: 8080 }
+            fronts: 2
+            fronts_of_service: 9
+            guest: "all"
+            inventory { file: "engines.yaml" }
+            product {
+              name: "consulta"
+              model: "c"
+              effect: IDEMPOTENT
+              slo_ms: 1000
+              time_limit_ms: 5000
+            }
+            """;
+
+    private static List<String> faults(String text) {
+        return assertThrows(BadSite.class, () -> SiteReader.read("s", text, Path.of("/x"))).faults;
+    }
+
+    private static void fault(String text, String expected) {
+        List<String> faults = faults(text);
+        assertTrue(faults.stream().anyMatch(f -> f.startsWith(expected)), faults.toString());
+    }
+
+    @Test
+    void goodFileBecomesTermsOfEachFront() throws BadSite {
+        Site site = SiteReader.read("s", GOOD, Path.of("/x"));
+        assertEquals(9, site.termsOf(0).fronts);
+        assertTrue(site.termsOf(0).seed != site.termsOf(1).seed);
+        assertEquals(Path.of("/x/engines.yaml"), site.inventory);
+        assertEquals(5000, site.offersByModel.get("c").patienceMs(100));
+    }
+
+    @Test
+    void unknownFieldIsToldWithItsLine() {
+        fault(GOOD.replace("slo_ms", "slo_msx"), "s:10:");
+    }
+
+    @Test
+    void missingValueIsToldWithLineAndField() {
+        fault(GOOD.replace("  slo_ms: 1000\n", ""), "s:7: product[0].slo_ms: missing");
+    }
+
+    @Test
+    void valueOutOfRangeIsToldWithItsBounds() {
+        fault(GOOD.replace("port: 8080", "port: 80800"), "s:1: listen.port: is 80800.0; expected 0 to 65535");
+    }
+
+    @Test
+    void modelOfTwoProductsIsToldWithBothLines() {
+        fault(GOOD + "product { name: \"d\" model: \"c\" effect: IDEMPOTENT slo_ms: 1 time_limit_ms: 2 }\n",
+                "s:13: product[1].model: 'c' is also a model of the product on line 8");
+    }
+
+    @Test
+    void allFaultsAreToldAtOnce() {
+        assertEquals(2, faults(GOOD.replace("  effect: IDEMPOTENT\n", "").replace("  slo_ms: 1000\n", "")).size());
+    }
+
+    @Test
+    void listLookedAtTooSeldomForTheGraceIsAFault() {
+        fault(GOOD.replace("engines.yaml\"", "engines.yaml\" poll_ms: 200"), "s:5: inventory.poll_ms");
+    }
+
+    @Test
+    void deduplicatedNeedsItsGroup() {
+        fault(GOOD.replace("IDEMPOTENT", "DEDUPLICATED"), "s:7: product[0].dedup_span: missing");
+    }
+
+    @Test
+    void keyOfNobodyIsTheGuestsOrNobodys() throws BadSite {
+        String key = Site.sha256("secret");
+        Site site = SiteReader.read("s", GOOD.replace("guest: \"all\"", "tenant { name: \"t\" key_sha256: \""
+                + key + "\" }"), Path.of("/x"));
+        assertEquals("t", site.tenant("secret").name());
+        assertEquals(null, site.tenant("other"));
+    }
+}
