A front that saw slow beginnings tries again when they are long past

Cause: the estimate of how long answers take to begin changes only when one begins. A front whose first answers were slow (here: cold JVMs of the stand-ins) gave up every generation at the door from then on, with idle engines, and could never learn better. Change: the estimate is void after 12 s without a beginning. A small test of the module; no other decision changes.

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -44,6 +44,9 @@
     private static final double UNHEARD_TOKS_PER_MS = 12;
     private static final double OWN_READS = 3;
     private static final double LEAST_READ_TOKS = 32;
+    // How long an answer takes to begin before any has, and when what was seen of it is void.
+    private static final double BEGIN_FIRST_MS = 100;
+    private static final double BEGIN_VOID_MS = 12000;
     // Asking for load: how many, how old a report must be, how long an answer is waited for.
     private static final int READERS_ASKED = 2;
     private static final int WRITERS_ASKED = 3;
@@ -91,7 +94,9 @@
     private double awaitingToks;
     private boolean wakeSet;
     private double askAtMs = Double.POSITIVE_INFINITY;
-    private double beginMs = 100;
+    /** How long answers take to begin at their writers, and when one last did. */
+    private double beginMs = BEGIN_FIRST_MS;
+    private double begunMs;
     /** The best speed of late reads in tokens a millisecond, what a read had to read, what homes had kept. */
     private final Ring speeds = new Ring(20, 1000);
     private final Mean unreadParts = new Mean(20, 1000);
@@ -130,6 +135,11 @@
     public void arrived(Gen gen) {
         open.add(gen);
         gen.chance = random.nextDouble();
+        if (host.now() - begunMs > BEGIN_VOID_MS) {
+            // Danger: once answers were slow to begin, all is given up at the door, and nothing is sent that could
+            // show that they no longer are: the front would turn everyone away for ever.
+            beginMs = Math.min(beginMs, BEGIN_FIRST_MS);
+        }
         advance(gen);
         setWake();
     }
@@ -174,6 +184,7 @@
         gen.held = gen.legsOut > 1;
         warmWrites.add(now, isCold(leg.engine, now) ? 0 : 1);
         beginMs += 0.05 * (now - leg.sentMs - beginMs);
+        begunMs = now;
         cancelOthers(gen, leg);
     }
 
--- a/src/test/java/larchridge/ChoiceTest.java
+++ b/src/test/java/larchridge/ChoiceTest.java
@@ -379,4 +379,23 @@
         choice.arrived(stage.gen("a"));
         assertSame(fleet[1], stage.last().engine);
     }
+
+    @Test
+    void frontThatSawSlowBeginningsTriesAgainWhenTheyAreLongPast() {
+        stage.fleet(1, 1);
+        for (int i = 0; i < 200; i++) {
+            choice.arrived(stage.gen("slow" + i));
+            Leg read = stage.last();
+            choice.readDone(read, 0, null, false);
+            Leg write = stage.last();
+            stage.now += 3000;
+            choice.begun(write);
+            choice.ended(write, Outcome.STREAMED, null, true);
+        }
+        stage.now += 20_000;
+        int sent = stage.sent.size();
+        choice.arrived(stage.gen("a"));
+        choice.woken();
+        assertEquals(sent + 1, stage.sent.size());
+    }
 }
