--- a/src/main/java/larchridge/cli/EngineCommand.java
+++ b/src/main/java/larchridge/cli/EngineCommand.java
@@ -27,10 +27,16 @@
     @Option(names = "--speed", defaultValue = "1", description = "times as fast (default: ${DEFAULT-VALUE})")
     private double speed;
 
+    @Option(names = "--streams", defaultValue = "60", description = "answers side by side (default: ${DEFAULT-VALUE})")
+    private int streams;
+    @Option(names = "--token-ms", defaultValue = "8", description = "between two tokens of an answer, before --speed "
+            + "(default: ${DEFAULT-VALUE})")
+    private double tokMs;
+
     @Override
     public Integer call() throws InterruptedException {
         Vertx vertx = Vertx.vertx();
-        vertx.runOnContext(v -> new StandIn(vertx, Make.of(id, role, zone, rack).scaled(speed), (sight, engine, rid, tag, amount)
+        vertx.runOnContext(v -> new StandIn(vertx, make(), (sight, engine, rid, tag, amount)
                 -> { }, id).start(port, false)
                 .onSuccess(at -> System.out.println("stand-in " + role + " " + id + " on 127.0.0.1:" + at))
                 .onFailure(e -> {
@@ -40,4 +46,11 @@
         new CountDownLatch(1).await();
         return 0;
     }
+
+    private Make make() {
+        Make usual = Make.of(id, role, zone, rack);
+        return new Make(id, role, zone, rack, usual.readToksPerMs(), Math.max(usual.readsAtOnce(), streams / 10),
+                streams, Math.max(usual.queue(), streams), usual.memoryToks() * Math.max(1, streams / 60.0), tokMs,
+                usual.moveToksPerMs(), usual.coldShare(), usual.coldMs(), usual.lapseMs()).scaled(speed);
+    }
 }
