Of those that wait, the first hundred are tried at a time

Cause: whenever a leg ended, the module tried every generation that waited. With 4,000 that came to one front at once its loop did little else: 60 tokens a second after 20 s. Change: the first 100 in order are tried; lateness is still checked for all, with the speed worked out once. A small test.

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -47,6 +47,8 @@
     // How long an answer takes to begin before any has; how often a front with nothing out tries anyway.
     private static final double BEGIN_FIRST_MS = 100;
     private static final double TRY_MS = 2000;
+    // Of those that wait, so many are tried at a time, the first in order.
+    private static final int MOST_TRIED = 100;
     // Asking for load: how many, how old a report must be, how long an answer is waited for.
     private static final int READERS_ASKED = 2;
     private static final int WRITERS_ASKED = 3;
@@ -379,19 +381,23 @@
                         (Gen g) -> g.product.revenue * (g.resent ? g.product.lateRevenue : 1))
                 .thenComparingDouble(g -> g.arrivedMs).reversed());
         double now = host.now();
+        double perTok = msPerTok(null, now);
+        int tried = 0;
         for (Gen gen : order) {
-            boolean late = now + gen.leastReadToks * msPerTok(null, now) + beginMs > gen.sloAtMs();
+            boolean late = now + gen.leastReadToks * perTok + beginMs > gen.sloAtMs();
             if (late && now > triedMs + TRY_MS && open.stream().allMatch(g -> g.legsOut == 0)) {
                 // Danger: once all was slow, all is given up, and nothing is sent that could show that it no
                 // longer is: everyone would be turned away. With nothing out, what is known is void.
                 triedMs = now;
                 beginMs = Math.min(beginMs, BEGIN_FIRST_MS);
                 speeds.clear();
+                perTok = msPerTok(null, now);
                 late = false;
             }
             if (late) {
                 giveUp(gen);
-            } else {
+            } else if (tried++ < MOST_TRIED) {
+                // Danger: thousands that wait, all tried whenever a leg ends, keep the loop from answering.
                 advance(gen);
             }
         }
--- a/src/test/java/larchridge/ChoiceTest.java
+++ b/src/test/java/larchridge/ChoiceTest.java
@@ -398,4 +398,18 @@
         choice.woken();
         assertEquals(sent + 1, stage.sent.size());
     }
+
+    @Test
+    void thousandsThatWaitAreNotAllTriedWheneverOneEnds() {
+        Engine[] fleet = stage.fleet(1, 1);
+        fleet[0].unreadToks = 50_000;
+        List<Gen> gens = new java.util.ArrayList<>();
+        for (int i = 0; i < 500; i++) {
+            gens.add(stage.gen("g" + i));
+            choice.arrived(gens.get(i));
+        }
+        gens.forEach(gen -> gen.leastReadToks = -1);
+        choice.woken();
+        assertEquals(100, gens.stream().filter(gen -> gen.leastReadToks >= 0).count());
+    }
 }
