Dead accessors go; the engine list is read once at the start

Need: a second reading of the change found state and accessors that nothing calls, and the list read and checked twice at start. Change: they are removed; behaviour stays as it is.

--- a/src/main/java/larchridge/budget/Budgets.java
+++ b/src/main/java/larchridge/budget/Budgets.java
@@ -103,7 +103,7 @@
             }
         }
         for (Purse each = purse; each != null; each = each.above) {
-            each.fly(toks, nowMs);
+            each.fly(toks);
         }
         Charge charge = new Charge(purse, toks, payer, own != null && payer != own);
         return answerIn(own, charge, nowMs);
@@ -183,12 +183,6 @@
         }
     }
 
-    /** Tokens of a tenant in flight at this front. */
-    public double inFlight(String tenant) {
-        Purse purse = tenants.get(tenant);
-        return purse == null ? 0 : purse.inFlight();
-    }
-
     private Purse purse(String tenant, String product) {
         Purse purse = products.get(tenant + '\n' + product);
         return purse != null ? purse : tenants.getOrDefault(tenant, service);
--- a/src/main/java/larchridge/budget/Meter.java
+++ b/src/main/java/larchridge/budget/Meter.java
@@ -10,7 +10,6 @@
 
     private final int countedPrompt;
     private final int maxToks;
-    private long reads;
     private long billedPrompt = -1;
     private long billedKept;
     private long wasted;
@@ -25,7 +24,6 @@
     /** A prompt was read there; until an answer comes of it, it is waste. Returns what the read counts as. */
     public long read(int reported) {
         long toks = believed(reported);
-        reads++;
         wasted += toks;
         return toks;
     }
@@ -82,10 +80,6 @@
         return Math.max(0, wasted);
     }
 
-    public long reads() {
-        return reads;
-    }
-
     /** What it took of its tenant's budget: what is billed. */
     public double used() {
         return promptToks() + outToks();
--- a/src/main/java/larchridge/budget/Purse.java
+++ b/src/main/java/larchridge/budget/Purse.java
@@ -20,7 +20,6 @@
     private double inFlight;
     private double monthUsed;
     private YearMonth month;
-    private double lastUseMs = Double.NEGATIVE_INFINITY;
 
     Purse(String name, Purse above, Grant grant, boolean alone, Random random) {
         this.name = name;
@@ -54,10 +53,6 @@
         return monthUsed;
     }
 
-    double lastUseMs() {
-        return lastUseMs;
-    }
-
     boolean hasFlightRoom(double toks) {
         // One generation may always fly alone, or one prompt over the ceiling would never come in.
         return inFlight <= 0 || inFlight + toks <= grant.atOnceToks();
@@ -73,9 +68,8 @@
         return month.plusMonths(1).atDay(1).atStartOfDay(ZoneOffset.UTC).toInstant().toEpochMilli() - nowMs;
     }
 
-    void fly(double toks, double nowMs) {
+    void fly(double toks) {
         inFlight += toks;
-        lastUseMs = nowMs;
     }
 
     void land(double estimate, double used, double nowMs) {
--- a/src/main/java/larchridge/drill/Fleet.java
+++ b/src/main/java/larchridge/drill/Fleet.java
@@ -84,18 +84,6 @@
         }
     }
 
-    public synchronized List<Long> ids() {
-        return List.copyOf(seats.keySet());
-    }
-
-    public Make make(long id) {
-        return seats.get(id).engine.make;
-    }
-
-    public int port(long id) {
-        return seats.get(id).engine.port();
-    }
-
     /** Sets what the next list says of an engine. */
     public synchronized void say(long id, String mode, boolean listed, double startMs) {
         said.put(id, new Said(mode, listed, startMs));
--- a/src/main/java/larchridge/drill/Load.java
+++ b/src/main/java/larchridge/drill/Load.java
@@ -85,10 +85,6 @@
         rateFactor = factor;
     }
 
-    long operations() {
-        return operations;
-    }
-
     private void next() {
         if (over) {
             return;
--- a/src/main/java/larchridge/front/Front.java
+++ b/src/main/java/larchridge/front/Front.java
@@ -430,9 +430,8 @@
                 return;
             }
             one.streaming = trip;
-            one.firstTokMs = nowMs - one.gen.arrivedMs;
             one.lastPieceMs = nowMs;
-            meters.firstToken(number, one.gen.product.name, one.firstTokMs);
+            meters.firstToken(number, one.gen.product.name, nowMs - one.gen.arrivedMs);
             if (trip.source != null) {
                 // It has been fetched: nothing of it is left at its reader.
                 trip.source.holds = false;
--- a/src/main/java/larchridge/front/Open.java
+++ b/src/main/java/larchridge/front/Open.java
@@ -27,7 +27,6 @@
     double wholeAtMs;
     long limitTimer = -1;
     long quietTimer = -1;
-    double firstTokMs = Double.NaN;
 
     Open(Front front, Ask ask, Client client, Patience patience) {
         this.front = front;
--- a/src/main/java/larchridge/ledger/Ledger.java
+++ b/src/main/java/larchridge/ledger/Ledger.java
@@ -104,10 +104,6 @@
         return written;
     }
 
-    public boolean isFailing() {
-        return failing;
-    }
-
     // ------------------------------------------------------------------ writing
 
     private void write() {
--- a/src/main/java/larchridge/serve/Service.java
+++ b/src/main/java/larchridge/serve/Service.java
@@ -57,7 +57,6 @@
 
     /** Starts all fronts; a list that can't be believed keeps the service from starting. */
     public static Service start(Site site) throws BadList, BadLedger, InterruptedException {
-        new ListFollower(site.inventory, null).first();
         Service service = new Service(site);
         try {
             service.run();
@@ -106,10 +105,6 @@
         return seats.stream().map(seat -> seat.server.actualPort()).toList();
     }
 
-    public int adminPort() {
-        return admin == null ? -1 : admin.actualPort();
-    }
-
     public PrometheusMeterRegistry figures() {
         return registry;
     }
--- a/src/main/java/larchridge/standin/StandIn.java
+++ b/src/main/java/larchridge/standin/StandIn.java
@@ -167,19 +167,11 @@
         return port;
     }
 
-    public boolean isUp() {
-        return up;
-    }
-
     /** When this process started, milliseconds of Unix time; 0 for one that started warm. */
     public double startedMs() {
         return startedMs;
     }
 
-    public int heldStates() {
-        return states.size();
-    }
-
     /** Forgets every text that it has kept. */
     public void flush() {
         kept.clear();
