--- a/src/main/java/larchridge/cli/DrillCommand.java
+++ b/src/main/java/larchridge/cli/DrillCommand.java
@@ -1,12 +1,75 @@
 package larchridge.cli;
 
+import java.io.IOException;
+import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import larchridge.drill.DayFile;
+import larchridge.drill.Drill;
+import larchridge.drill.Rules;
+import larchridge.drill.Script;
+import larchridge.drill.ScriptReader;
+import larchridge.drill.Tally;
+import larchridge.drill.TrafficLog;
+import picocli.CommandLine.ArgGroup;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
 
-@Command(name = "drill", mixinStandardHelpOptions = true)
+/** Plays a scripted bad day through real fronts and judges it from the traffic. */
+@Command(name = "drill", mixinStandardHelpOptions = true,
+        description = {"Play a bad day: real fronts, stand-in engines and clients over loopback; the rules are checked "
+            + "from the traffic.", "Exit code 3: a rule was broken."})
 final class DrillCommand implements Callable<Integer> {
+    @ArgGroup(multiplicity = "1")
+    private Source source;
+    @Option(names = "--seed", description = "in place of the script's")
+    private Long seed;
+    @Option(names = "--log", paramLabel = "FILE", description = "write the traffic log there, as JSON lines")
+    private Path log;
+    @Option(names = "--figures", description = "print the fronts' own figures at the end")
+    private boolean figures;
+    @Option(names = "--scale", defaultValue = "1", description = "of a bench day's load and engines' speed "
+            + "(default: ${DEFAULT-VALUE})")
+    private double scale;
+
+    private static final class Source {
+        @Option(names = "--script", paramLabel = "FILE", description = "drill script, YAML")
+        private Path script;
+        @Option(names = "--day", paramLabel = "FILE", description = "a bench day, as lbsim draw prints it")
+        private Path day;
+    }
+
     @Override
-    public Integer call() {
-        return 2;
+    public Integer call() throws InterruptedException, IOException {
+        Script script;
+        try {
+            if (source.day != null) {
+                DayFile day = DayFile.read(source.day, scale);
+                script = day.script();
+                day.leftOut().forEach(what -> System.out.println("not carried over: " + what));
+            } else {
+                script = ScriptReader.read(source.script);
+            }
+        } catch (ScriptReader.BadScript e) {
+            System.err.println(e.getMessage());
+            return 1;
+        }
+        if (seed != null) {
+            script = new Script(seed, script.fronts(), script.durationMs(), script.ratePerS(), script.listLagMs(),
+                    script.probes(), script.engines(), script.products(), script.clients(), script.troubles());
+        }
+        System.out.println("seed " + script.seed() + ", " + script.fronts() + " fronts, engines are simulated");
+        Drill.Result result = Drill.play(script);
+        System.out.print(Tally.table(result.rows()));
+        if (figures) {
+            System.out.print(result.figures());
+        }
+        if (log != null) {
+            TrafficLog.write(result.log(), log);
+        }
+        for (Rules.Breach breach : result.breaches()) {
+            System.out.println(breach);
+        }
+        System.out.println(result.breaches().size() + " broken rules in " + result.log().size() + " sights");
+        return result.breaches().isEmpty() ? 0 : 3;
     }
 }
--- /dev/null
+++ b/src/main/java/larchridge/drill/Drill.java
@@ -0,0 +1,287 @@
+package larchridge.drill;
+
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import larchridge.inventory.BadList;
+import larchridge.serve.Service;
+import larchridge.site.BadSite;
+import larchridge.site.Site;
+import larchridge.site.SiteReader;
+import larchridge.standin.Make;
+import larchridge.state.Effect;
+import larchridge.state.Product;
+import larchridge.state.Role;
+import larchridge.state.Span;
+
+/** Plays a script: real fronts, stand-in engines and clients over loopback, then the rules from the traffic. */
+public final class Drill {
+    private static final double DRAIN_GRACE_MS = 250;
+    private static final double RELEASE_MS = 1000;
+    private static final double TIP_MULTIPLE = 2.5;
+    private static final double TIP_MS = 1000;
+    private static final double COLD_SHARE = 0.3;
+    private static final double COLD_MS = 3000;
+    private static final double SLACK_MS = 150;
+    /** For the last releases, after the last answer. */
+    private static final long TAIL_MS = 1500;
+
+    /** What is drilled: the real service, or in tests one that breaks a rule. */
+    public interface Fronts {
+        List<Integer> ports();
+
+        String figures();
+
+        void stop() throws InterruptedException;
+
+        /** Starts fronts for a site. */
+        interface Maker {
+            Fronts make(Site site) throws BadList, InterruptedException;
+        }
+    }
+
+    /** What a run gave. */
+    public record Result(List<Seen> log, List<Rules.Breach> breaches, List<Tally.Row> rows, String figures) {
+        public Tally.Row all() {
+            return rows.get(0);
+        }
+    }
+
+    private final Script script;
+    private final Fronts.Maker maker;
+    private final TrafficLog log = new TrafficLog();
+    private final Map<Long, Make> makes = new HashMap<>();
+    private Fleet fleet;
+    private Path list;
+    private Load load;
+    private Vertx vertx;
+
+    private Drill(Script script, Fronts.Maker maker) {
+        this.script = script;
+        this.maker = maker;
+    }
+
+    /** Plays a script to its end through the real fronts and judges it. */
+    public static Result play(Script script) throws InterruptedException, IOException {
+        return play(script, Drill::service);
+    }
+
+    /** Plays a script through fronts made otherwise. */
+    public static Result play(Script script, Fronts.Maker maker) throws InterruptedException, IOException {
+        return new Drill(script, maker).run();
+    }
+
+    private static Fronts service(Site site) throws BadList, InterruptedException {
+        Service service = Service.start(site);
+        return new Fronts() {
+            @Override
+            public List<Integer> ports() {
+                return service.ports();
+            }
+
+            @Override
+            public String figures() {
+                return service.figures().scrape();
+            }
+
+            @Override
+            public void stop() throws InterruptedException {
+                service.stop();
+            }
+        };
+    }
+
+    private Result run() throws InterruptedException, IOException {
+        Path folder = Files.createTempDirectory("larchridge-drill");
+        list = folder.resolve("engines.yaml");
+        fleet = Fleet.start(makes(), log, script.seed());
+        fleet.writeList(list);
+        vertx = Vertx.vertx();
+        Fronts fronts = null;
+        try {
+            fronts = maker.make(SiteReader.read("drill", site(), folder));
+            load = new Load(vertx, script, fronts.ports(), log);
+            CountDownLatch done = new CountDownLatch(1);
+            vertx.runOnContext(v -> {
+                log.begin();
+                for (Script.Trouble trouble : script.troubles()) {
+                    vertx.setTimer(Math.max(1, (long) trouble.atMs()), timer -> begin(trouble));
+                }
+                load.start(done::countDown);
+            });
+            if (!done.await((long) script.durationMs() + 60_000, TimeUnit.MILLISECONDS)) {
+                log.add(Seen.Kind.TROUBLE, 0, null, null, 0, "clients still open after the run");
+            }
+            Thread.sleep(TAIL_MS);
+            String figures = fronts.figures();
+            List<Seen> all = log.all();
+            return new Result(all, Rules.judge(all, figures()), Tally.of(all, script), figures);
+        } catch (BadSite | BadList e) {
+            throw new IllegalStateException("the drill's own site is not good: " + e.getMessage(), e);
+        } finally {
+            if (fronts != null) {
+                fronts.stop();
+            }
+            vertx.close();
+            fleet.close();
+            Files.deleteIfExists(list);
+            Files.deleteIfExists(folder);
+        }
+    }
+
+    private List<Make> makes() {
+        long id = 1;
+        for (Script.Group group : script.engines()) {
+            for (int i = 0; i < group.count(); i++) {
+                String zone = group.zones().get(i % group.zones().size());
+                long rack = 10L * (i % group.zones().size()) + i / group.zones().size() % group.racks();
+                Make make = Make.of(id, Role.valueOf(group.role().toUpperCase(Locale.ROOT)), zone, rack)
+                        .scaled(group.speed());
+                makes.put(id++, make);
+            }
+        }
+        List<Make> all = new ArrayList<>();
+        for (long i = 1; i < id; i++) {
+            all.add(makes.get(i));
+        }
+        return all;
+    }
+
+    /** The site that the fronts of this drill serve. */
+    private String site() {
+        StringBuilder text = new StringBuilder();
+        text.append("listen { host: \"127.0.0.1\" port: 0 }\nown_ports: true\nguest: \"drill\"\n")
+                .append("seed: ").append(Math.max(1, script.seed())).append("\nfronts: ").append(script.fronts())
+                .append("\nzone: \"").append(script.engines().get(0).zones().get(0)).append("\"\n")
+                .append("inventory { file: \"engines.yaml\" poll_ms: 40 }\n")
+                .append("limits { longest_retry_after_ms: 400 stop_ms: 1000 ping_ms: 500 quiet_stream_ms: 3000 }\n")
+                .append("engines { second_copies: true reports_with_answers: ").append(!script.probes())
+                .append(" reports_with_probes: ").append(script.probes()).append(" may_probe: ")
+                .append(script.probes());
+        text.append(String.format(Locale.ROOT, " drain_grace_ms: %f release_ms: %f cold_share: %f cold_ms: %f"
+                + " tip_multiple: %f tip_ms: %f }%n", DRAIN_GRACE_MS, RELEASE_MS, COLD_SHARE, COLD_MS, TIP_MULTIPLE,
+                TIP_MS));
+        for (Script.Mix mix : script.products()) {
+            text.append(String.format(Locale.ROOT, "product { name: \"%s\" model: \"%s\" effect: %s revenue: %f"
+                    + " slo_ms: %f time_limit_ms: %f token_ms: 60", mix.name(), mix.name(), mix.effect(),
+                    mix.revenue(), mix.sloMs(), mix.limitMs()));
+            if (mix.effect().equals("DEDUPLICATED")) {
+                text.append(String.format(Locale.ROOT, " dedup_span: %s dedup_memory_ms: %f", mix.span(),
+                        mix.memoryMs()));
+            }
+            text.append(" }\n");
+        }
+        return text.toString();
+    }
+
+    private Rules.Figures figures() {
+        Map<String, Product> products = new HashMap<>();
+        for (Script.Mix mix : script.products()) {
+            products.put(mix.name(), new Product(mix.name(), Effect.valueOf(mix.effect()), Span.valueOf(mix.span()),
+                    mix.memoryMs(), mix.revenue(), 0.1, mix.sloMs(), 0, 60));
+        }
+        return new Rules.Figures(DRAIN_GRACE_MS, RELEASE_MS, TIP_MULTIPLE, TIP_MS, SLACK_MS, products, makes);
+    }
+
+    // ------------------------------------------------------------------ troubles
+
+    private void begin(Script.Trouble trouble) {
+        log.add(Seen.Kind.TROUBLE, 0, null, null, trouble.size(), trouble.kind());
+        for (long id : trouble.engines()) {
+            begin(trouble, id);
+        }
+        switch (trouble.kind()) {
+            case "burst" -> {
+                load.rate(trouble.size());
+                vertx.setTimer((long) trouble.forMs(), timer -> load.rate(1));
+            }
+            case "bad_list" -> {
+                write("engines:\n  - id: 1\n    host: 127.0.0.1\n    por");
+                vertx.setTimer((long) trouble.forMs(), timer -> write(null));
+            }
+            case "drain", "remove" -> {
+                write(null);
+                tellList(trouble.engines(), trouble.kind().equals("drain") ? "draining" : "gone");
+                vertx.setTimer((long) trouble.forMs(), timer -> {
+                    for (long id : trouble.engines()) {
+                        fleet.say(id, "ready", true, fleet.said(id).startMs());
+                    }
+                    tellList(trouble.engines(), "ready");
+                    write(null);
+                });
+            }
+            default -> { }
+        }
+    }
+
+    private void begin(Script.Trouble trouble, long id) {
+        switch (trouble.kind()) {
+            case "crash" -> crash(trouble, id);
+            case "drain" -> fleet.say(id, "draining", true, fleet.said(id).startMs());
+            case "remove" -> fleet.say(id, "ready", false, fleet.said(id).startMs());
+            case "flush" -> fleet.on(id, engine -> engine.flush());
+            case "bad_list", "burst" -> { }
+            default -> {
+                fleet.on(id, engine -> {
+                    switch (trouble.kind()) {
+                        case "pause" -> engine.mood.pausedUntilMs = System.currentTimeMillis() + trouble.forMs();
+                        case "slow" -> engine.mood.slowness = trouble.size();
+                        case "lost" -> engine.mood.lostShare = Math.min(1, trouble.size());
+                        case "full" -> engine.mood.full = true;
+                        case "faulty" -> engine.mood.faulty = true;
+                        case "broken" -> engine.mood.brokenShare = Math.min(1, trouble.size());
+                        case "torn" -> engine.mood.torn = true;
+                        case "garbled" -> engine.mood.garbledShare = Math.min(1, trouble.size());
+                        case "forgetful" -> engine.mood.forgetful = true;
+                        case "lag" -> engine.mood.reportLagMs = trouble.size();
+                        default -> throw new IllegalStateException(trouble.kind());
+                    }
+                });
+                vertx.setTimer(Math.max(1, (long) trouble.forMs()), timer -> fleet.on(id, e -> e.mood.clear()));
+            }
+        }
+    }
+
+    /** Dies at once; the list tells of it late, and of its cold return when that is over. */
+    private void crash(Script.Trouble trouble, long id) {
+        fleet.on(id, engine -> engine.crash());
+        vertx.setTimer((long) script.listLagMs(), timer -> {
+            fleet.say(id, "ready", false, 0);
+            write(null);
+            tellList(List.of(id), "gone");
+        });
+        vertx.setTimer((long) Math.max(script.listLagMs() + 200, trouble.forMs()), timer ->
+                fleet.on(id, engine -> engine.start(0, true).onSuccess(port -> {
+                    double startedMs = engine.startedMs();
+                    vertx.setTimer(50, told -> {
+                        fleet.say(id, "ready", true, startedMs);
+                        tellList(List.of(id), "ready");
+                        write(null);
+                    });
+                })));
+    }
+
+    private void tellList(List<Long> ids, String mode) {
+        ids.forEach(id -> log.add(Seen.Kind.LISTED, id, null, null, 0, mode));
+    }
+
+    private void write(String broken) {
+        try {
+            if (broken == null) {
+                fleet.writeList(list);
+            } else {
+                Files.writeString(list, broken);
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException("the list can't be written", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/drill/Rules.java
@@ -0,0 +1,277 @@
+package larchridge.drill;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import larchridge.standin.Make;
+import larchridge.state.Effect;
+import larchridge.state.Product;
+import larchridge.state.Role;
+import larchridge.state.Span;
+
+/** The five rules, checked from a traffic log alone. Pure functions: no clock, no sockets, no word of a front. */
+public final class Rules {
+    private Rules() { }
+
+    /** A broken rule. */
+    public record Breach(int rule, String about, String what) {
+        @Override
+        public String toString() {
+            return "rule " + rule + ": " + about + ": " + what;
+        }
+    }
+
+    /**
+     * The figures that the rules are stated in.
+     *
+     * @param slackMs allowed on every time beside the rule's own, for the way over the sockets
+     */
+    public record Figures(double drainGraceMs, double releaseMs, double tipMultiple, double tipMs, double slackMs,
+                          Map<String, Product> products, Map<Long, Make> makes) { }
+
+    public static List<Breach> judge(List<Seen> log, Figures figures) {
+        List<Seen> ordered = new ArrayList<>(log);
+        ordered.sort(Comparator.comparingDouble(Seen::ms));
+        List<Breach> breaches = new ArrayList<>();
+        oneFinalAnswer(ordered, figures, breaches);
+        noEffectTwice(ordered, figures, breaches);
+        drainsKept(ordered, figures, breaches);
+        coldNotPushed(ordered, figures, breaches);
+        nothingPinned(ordered, figures, breaches);
+        return breaches;
+    }
+
+    /** Rule 1: each try gets one final answer in time, and nothing after it. */
+    static void oneFinalAnswer(List<Seen> log, Figures figures, List<Breach> breaches) {
+        Map<String, List<Seen>> byTag = clientSights(log);
+        for (Map.Entry<String, List<Seen>> entry : byTag.entrySet()) {
+            Seen asked = null;
+            Seen begun = null;
+            Seen last = null;
+            boolean left = false;
+            for (Seen seen : entry.getValue()) {
+                switch (seen.kind()) {
+                    case ASKED -> asked = seen;
+                    case BEGUN -> begun = seen;
+                    case LEFT -> left = true;
+                    case LOST -> breaches.add(new Breach(1, entry.getKey(), "closed without a final answer"));
+                    case AFTER_FINAL -> breaches.add(new Breach(1, entry.getKey(), "more after the final answer"));
+                    case MALFORMED -> breaches.add(new Breach(1, entry.getKey(), "not in the API's words: "
+                            + seen.word()));
+                    case FINAL -> {
+                        if (last != null) {
+                            breaches.add(new Breach(1, entry.getKey(), "a second final answer, " + seen.word()));
+                        }
+                        if (left) {
+                            break;
+                        }
+                        last = seen;
+                        if (begun != null && seen.word().equals("throttled")) {
+                            breaches.add(new Breach(1, entry.getKey(), "throttled after it had begun"));
+                        }
+                        if (begun == null && seen.ms() > asked.ms() + asked.amount() + figures.slackMs) {
+                            breaches.add(new Breach(1, entry.getKey(), seen.word() + " "
+                                    + Math.round(seen.ms() - asked.ms() - asked.amount()) + " ms too late"));
+                        }
+                    }
+                    default -> { }
+                }
+            }
+            if (asked != null && last == null && !left
+                    && entry.getValue().stream().noneMatch(s -> s.kind() == Seen.Kind.LOST)) {
+                breaches.add(new Breach(1, entry.getKey(), "no final answer at all"));
+            }
+        }
+    }
+
+    /** Rule 2: no effect twice, and no word that a repeat is harmless where it is not. */
+    static void noEffectTwice(List<Seen> log, Figures figures, List<Breach> breaches) {
+        Map<String, Product> productOf = new HashMap<>();
+        Map<String, List<Seen>> ranOf = new TreeMap<>();
+        for (Seen seen : log) {
+            if (seen.kind() == Seen.Kind.ASKED) {
+                productOf.put(seen.tag(), figures.products.get(seen.word()));
+            } else if (seen.kind() == Seen.Kind.RAN && seen.tag() != null) {
+                ranOf.computeIfAbsent(seen.operation(), key -> new ArrayList<>()).add(seen);
+            } else if (seen.kind() == Seen.Kind.FINAL && seen.word().equals("throttled")) {
+                Product product = productOf.get(seen.tag());
+                boolean ran = ranOf.getOrDefault(seen.operation(), List.of()).stream()
+                        .anyMatch(r -> r.tag().equals(seen.tag()));
+                if (ran && !mayRepeatAnywhere(product)) {
+                    breaches.add(new Breach(2, seen.tag(), "throttled though a leg of it ran"));
+                }
+            }
+        }
+        for (Map.Entry<String, List<Seen>> entry : ranOf.entrySet()) {
+            List<Seen> runs = entry.getValue();
+            Product product = productOf.get(runs.get(0).tag());
+            if (product == null || product.effect == Effect.IDEMPOTENT) {
+                continue;
+            }
+            for (int i = 1; i < runs.size(); i++) {
+                if (product.effect == Effect.SIDE_EFFECTING) {
+                    breaches.add(new Breach(2, entry.getKey(), "ran " + runs.size() + " times"));
+                    break;
+                }
+                Make first = figures.makes.get(runs.get(0).where());
+                Make again = figures.makes.get(runs.get(i).where());
+                boolean together = product.span == Span.ALL
+                        || product.span == Span.ZONE && first.zone().equals(again.zone())
+                        || product.span == Span.RACK && first.rack() == again.rack();
+                if (!together || runs.get(i).ms() - runs.get(0).ms() > product.memoryMs) {
+                    breaches.add(new Breach(2, entry.getKey(), "ran again " + (together ? "after" : "outside")
+                            + " what drops its repeats"));
+                }
+            }
+        }
+    }
+
+    private static boolean mayRepeatAnywhere(Product product) {
+        return product == null || product.effect == Effect.IDEMPOTENT
+                || product.effect == Effect.DEDUPLICATED && product.span == Span.ALL;
+    }
+
+    /** Rule 3: nothing new to an engine once the list has said for the grace that it drains or is gone. */
+    static void drainsKept(List<Seen> log, Figures figures, List<Breach> breaches) {
+        Map<Long, Double> since = new HashMap<>();
+        for (Seen seen : log) {
+            if (seen.kind() == Seen.Kind.LISTED) {
+                if (seen.word().equals("ready")) {
+                    since.remove(seen.where());
+                } else {
+                    since.putIfAbsent(seen.where(), seen.ms());
+                }
+            } else if (isLeg(seen) && since.containsKey(seen.where())
+                    && seen.ms() > since.get(seen.where()) + figures.drainGraceMs + figures.slackMs) {
+                breaches.add(new Breach(3, "engine " + seen.where(), seen.rid() + " came "
+                        + Math.round(seen.ms() - since.get(seen.where())) + " ms after it was told"));
+            }
+        }
+    }
+
+    /**
+     * Rule 4: what is sent to an engine just started stays, in every window, under the stated multiple of what it can
+     * do then. Each leg weighs as the mean of its kind; two legs are allowed for chance.
+     */
+    static void coldNotPushed(List<Seen> log, Figures figures, List<Breach> breaches) {
+        double reads = 0;
+        double readToks = 0;
+        for (Seen seen : log) {
+            reads += seen.kind() == Seen.Kind.READ_IN ? 1 : 0;
+            readToks += seen.kind() == Seen.Kind.READ_IN ? seen.amount() : 0;
+        }
+        double meanRead = reads > 0 ? readToks / reads : 0;
+        Map<Long, Double> started = new HashMap<>();
+        Map<Long, ArrayDeque<Double>> late = new HashMap<>();
+        Set<Long> told = new HashSet<>();
+        for (Seen seen : log) {
+            if (seen.kind() == Seen.Kind.STARTED) {
+                late.remove(seen.where());
+                told.remove(seen.where());
+                started.remove(seen.where());
+                if (seen.amount() > 0) {
+                    started.put(seen.where(), seen.ms());
+                }
+            }
+            Double start = started.get(seen.where());
+            if (!isLeg(seen) || start == null) {
+                continue;
+            }
+            Make make = figures.makes.get(seen.where());
+            double age = seen.ms() - start;
+            if (age > make.coldMs()) {
+                continue;
+            }
+            ArrayDeque<Double> window = late.computeIfAbsent(seen.where(), key -> new ArrayDeque<>());
+            window.add(seen.ms());
+            while (window.peek() < seen.ms() - figures.tipMs) {
+                window.poll();
+            }
+            double share = make.coldShare() + (1 - make.coldShare()) * age / make.coldMs();
+            // A reader does tokens; a writer does streams, each for about the time that its slots allow.
+            double legsPerMs = make.role() == Role.READER ? make.readToksPerMs() / Math.max(1, meanRead)
+                    : make.streams() / (30 * make.tokMs());
+            double budget = figures.tipMultiple * share * legsPerMs * figures.tipMs + 2;
+            if (window.size() > budget && told.add(seen.where())) {
+                breaches.add(new Breach(4, "engine " + seen.where(), window.size() + " legs within "
+                        + Math.round(figures.tipMs) + " ms at age " + Math.round(age) + " ms, budget "
+                        + Math.round(budget)));
+            }
+        }
+    }
+
+    /** Rule 5: a state waits no longer than stated while none of its generation's legs is out. */
+    static void nothingPinned(List<Seen> log, Figures figures, List<Breach> breaches) {
+        Map<String, Integer> legsOut = new HashMap<>();
+        Map<String, Double> idleSince = new HashMap<>();
+        Map<String, List<Seen>> held = new HashMap<>();
+        double end = log.isEmpty() ? 0 : log.get(log.size() - 1).ms();
+        for (Seen seen : log) {
+            if (seen.tag() == null) {
+                continue;
+            }
+            switch (seen.kind()) {
+                case READ_IN, WRITE_IN -> {
+                    look(seen.tag(), seen.ms(), held, legsOut, idleSince, figures, breaches);
+                    legsOut.merge(seen.tag(), 1, Integer::sum);
+                }
+                case LEG_OUT -> {
+                    if (legsOut.merge(seen.tag(), -1, Integer::sum) <= 0) {
+                        idleSince.put(seen.tag(), seen.ms());
+                    }
+                }
+                case STATE_HELD -> {
+                    held.computeIfAbsent(seen.tag(), key -> new ArrayList<>()).add(seen);
+                    idleSince.merge(seen.tag(), seen.ms(), Math::max);
+                }
+                case STATE_GONE -> {
+                    look(seen.tag(), seen.ms(), held, legsOut, idleSince, figures, breaches);
+                    List<Seen> states = held.get(seen.tag());
+                    if (states != null) {
+                        states.removeIf(s -> s.where() == seen.where() && s.rid().equals(seen.rid()));
+                    }
+                }
+                default -> { }
+            }
+        }
+        for (String tag : new TreeMap<>(held).keySet()) {
+            look(tag, end, held, legsOut, idleSince, figures, breaches);
+        }
+    }
+
+    private static void look(String tag, double ms, Map<String, List<Seen>> held, Map<String, Integer> legsOut,
+                             Map<String, Double> idleSince, Figures figures, List<Breach> breaches) {
+        List<Seen> states = held.get(tag);
+        if (states == null || states.isEmpty() || legsOut.getOrDefault(tag, 0) > 0) {
+            return;
+        }
+        for (Seen state : states) {
+            double idle = ms - Math.max(state.ms(), idleSince.getOrDefault(tag, state.ms()));
+            if (idle > figures.releaseMs + figures.slackMs) {
+                breaches.add(new Breach(5, tag, "state " + state.rid() + " at engine " + state.where() + " waited "
+                        + Math.round(idle) + " ms with no leg out"));
+            }
+        }
+    }
+
+    private static Map<String, List<Seen>> clientSights(List<Seen> log) {
+        Map<String, List<Seen>> byTag = new TreeMap<>();
+        for (Seen seen : log) {
+            if (seen.kind().ordinal() >= Seen.Kind.ASKED.ordinal()
+                    && seen.kind().ordinal() <= Seen.Kind.MALFORMED.ordinal()) {
+                byTag.computeIfAbsent(seen.tag(), key -> new ArrayList<>()).add(seen);
+            }
+        }
+        return byTag;
+    }
+
+    private static boolean isLeg(Seen seen) {
+        return seen.kind() == Seen.Kind.READ_IN || seen.kind() == Seen.Kind.WRITE_IN;
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/drill/Script.java
@@ -0,0 +1,46 @@
+package larchridge.drill;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.List;
+
+/**
+ * A drill: engines, load and troubles against time, milliseconds from the start. Fields that a file leaves out have the
+ * defaults of {@link ScriptReader}.
+ */
+public record Script(
+        @JsonProperty("seed") long seed,
+        @JsonProperty("fronts") int fronts,
+        @JsonProperty("duration_ms") double durationMs,
+        @JsonProperty("rate_per_s") double ratePerS,
+        @JsonProperty("list_lag_ms") double listLagMs,
+        @JsonProperty("probes") boolean probes,
+        @JsonProperty("engines") List<Group> engines,
+        @JsonProperty("products") List<Mix> products,
+        @JsonProperty("clients") Clients clients,
+        @JsonProperty("troubles") List<Trouble> troubles) {
+
+    /** So many engines of one role; they are spread over the zones, and in each zone over its racks. */
+    public record Group(@JsonProperty("role") String role, @JsonProperty("count") int count,
+                        @JsonProperty("zones") List<String> zones, @JsonProperty("racks") int racks,
+                        @JsonProperty("speed") double speed) { }
+
+    /** A product's part of the load. */
+    public record Mix(@JsonProperty("name") String name, @JsonProperty("share") double share,
+                      @JsonProperty("effect") String effect, @JsonProperty("span") String span,
+                      @JsonProperty("memory_ms") double memoryMs, @JsonProperty("revenue") double revenue,
+                      @JsonProperty("slo_ms") double sloMs, @JsonProperty("time_limit_ms") double limitMs,
+                      @JsonProperty("prompt_tokens") int promptToks, @JsonProperty("shared_tokens") int sharedToks,
+                      @JsonProperty("prefixes") int prefixes, @JsonProperty("output_tokens") int outToks,
+                      @JsonProperty("turns") double turns) { }
+
+    /** What clients do: shares of all tries. */
+    public record Clients(@JsonProperty("retries") int retries, @JsonProperty("retry_ms") double retryMs,
+                          @JsonProperty("leave_share") double leaveShare,
+                          @JsonProperty("slow_share") double slowShare,
+                          @JsonProperty("whole_share") double wholeShare) { }
+
+    /** A trouble: from when, for how long, what, on which engines (ids), how strong. */
+    public record Trouble(@JsonProperty("at_ms") double atMs, @JsonProperty("for_ms") double forMs,
+                          @JsonProperty("kind") String kind, @JsonProperty("engines") List<Long> engines,
+                          @JsonProperty("size") double size) { }
+}
--- /dev/null
+++ b/src/main/java/larchridge/drill/ScriptReader.java
@@ -0,0 +1,97 @@
+package larchridge.drill;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+/** Reads a drill script in YAML; a fault names file, line and field. */
+public final class ScriptReader {
+    static final Set<String> KINDS = Set.of("crash", "pause", "slow", "lost", "full", "faulty", "broken", "torn",
+            "garbled", "flush", "forgetful", "lag", "drain", "remove", "bad_list", "burst");
+    private static final ObjectMapper MAPPER = new ObjectMapper(new YAMLFactory())
+            .disable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+
+    /** A script that can't be played. */
+    public static final class BadScript extends Exception {
+        private static final long serialVersionUID = 1;
+
+        BadScript(String text) {
+            super(text);
+        }
+    }
+
+    private ScriptReader() { }
+
+    public static Script read(Path file) throws BadScript {
+        try {
+            return read(file.toString(), Files.readString(file));
+        } catch (IOException e) {
+            throw new BadScript(file + ": can't be read (" + e.getMessage() + ")");
+        }
+    }
+
+    public static Script read(String file, String text) throws BadScript {
+        Script script;
+        try {
+            script = MAPPER.readValue(text, Script.class);
+        } catch (JsonProcessingException e) {
+            int line = e.getLocation() == null ? 1 : e.getLocation().getLineNr();
+            throw new BadScript(file + ":" + line + ": " + e.getOriginalMessage().split("\n")[0]);
+        }
+        return filled(file, script);
+    }
+
+    private static Script filled(String file, Script raw) throws BadScript {
+        if (raw.engines() == null || raw.engines().isEmpty()) {
+            throw new BadScript(file + ": engines: missing");
+        }
+        if (raw.products() == null || raw.products().isEmpty()) {
+            throw new BadScript(file + ": products: missing");
+        }
+        List<Script.Group> groups = new ArrayList<>();
+        for (Script.Group group : raw.engines()) {
+            groups.add(new Script.Group(group.role(), Math.max(1, group.count()),
+                    group.zones() == null ? List.of("z") : group.zones(), Math.max(1, group.racks()),
+                    or(group.speed(), 1)));
+        }
+        int engines = groups.stream().mapToInt(Script.Group::count).sum();
+        List<Script.Mix> mixes = new ArrayList<>();
+        for (Script.Mix mix : raw.products()) {
+            mixes.add(new Script.Mix(mix.name(), or(mix.share(), 1), mix.effect() == null ? "IDEMPOTENT"
+                    : mix.effect(), mix.span() == null ? "ALL" : mix.span(), or(mix.memoryMs(), 60_000),
+                    or(mix.revenue(), 1), or(mix.sloMs(), 600), or(mix.limitMs(), 2500), (int) or(mix.promptToks(),
+                    400), mix.sharedToks(), Math.max(1, mix.prefixes()), (int) or(mix.outToks(), 24),
+                    or(mix.turns(), 1)));
+        }
+        List<Script.Trouble> troubles = new ArrayList<>();
+        for (Script.Trouble trouble : raw.troubles() == null ? List.<Script.Trouble>of() : raw.troubles()) {
+            if (trouble.kind() == null || !KINDS.contains(trouble.kind())) {
+                throw new BadScript(file + ": troubles[" + troubles.size() + "].kind: '" + trouble.kind()
+                        + "' is not one of " + new java.util.TreeSet<>(KINDS));
+            }
+            List<Long> on = trouble.engines() == null ? List.of() : trouble.engines();
+            for (Long id : on) {
+                if (id < 1 || id > engines) {
+                    throw new BadScript(file + ": troubles[" + troubles.size() + "].engines: no engine " + id
+                            + "; there are 1 to " + engines);
+                }
+            }
+            troubles.add(new Script.Trouble(trouble.atMs(), trouble.forMs(), trouble.kind(), on,
+                    or(trouble.size(), 1)));
+        }
+        Script.Clients clients = raw.clients() == null ? new Script.Clients(0, 100, 0, 0, 0) : raw.clients();
+        return new Script(raw.seed(), Math.max(1, raw.fronts()), or(raw.durationMs(), 10_000),
+                or(raw.ratePerS(), 20), or(raw.listLagMs(), 300), raw.probes(), groups, mixes, clients, troubles);
+    }
+
+    private static double or(double value, double otherwise) {
+        return value == 0 ? otherwise : value;
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/drill/TrafficLog.java
@@ -0,0 +1,66 @@
+package larchridge.drill;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import larchridge.standin.Witness;
+
+/**
+ * What both ends of every socket saw, in order, by one monotonic clock. At most {@value #MOST} sights; a run that has
+ * more is not judged, since a log with holes proves nothing.
+ */
+public final class TrafficLog implements Witness {
+    static final int MOST = 20_000_000;
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private volatile long startNanos = System.nanoTime();
+    private final List<Seen> sights = new ArrayList<>();
+    private boolean full;
+
+    /** The script's time begins now; what was seen before has times under 0. */
+    synchronized void begin() {
+        double before = now();
+        startNanos = System.nanoTime();
+        sights.replaceAll(seen -> new Seen(seen.ms() - before, seen.kind(), seen.where(), seen.rid(), seen.tag(),
+                seen.amount(), seen.word()));
+    }
+
+    public double now() {
+        return (System.nanoTime() - startNanos) / 1e6;
+    }
+
+    @Override
+    public void saw(Sight sight, long engine, String rid, String tag, double amount) {
+        add(Seen.Kind.valueOf(sight.name()), engine, rid, tag, amount, null);
+    }
+
+    public synchronized void add(Seen.Kind kind, long where, String rid, String tag, double amount, String word) {
+        if (sights.size() >= MOST) {
+            full = true;
+            return;
+        }
+        sights.add(new Seen(now(), kind, where, rid, tag, amount, word));
+    }
+
+    /** All sights so far. */
+    public synchronized List<Seen> all() {
+        if (full) {
+            throw new IllegalStateException("the traffic log is full at " + MOST + " sights; play a shorter script");
+        }
+        return List.copyOf(sights);
+    }
+
+    /** Writes sights as JSON lines. */
+    public static void write(List<Seen> sights, Path file) throws IOException {
+        try (BufferedWriter out = Files.newBufferedWriter(file)) {
+            for (Seen seen : sights) {
+                out.write(MAPPER.writeValueAsString(seen));
+                out.newLine();
+            }
+        }
+    }
+}
