Prompts are counted by their engines' vocabulary, off the loop where that is long

Need: reader cost, budgets and the module's backlog rest on prompt lengths that were guessed from bytes; gauge readings have more than twice the tokens a byte that prose has.

Drills may count by an encoding. Half a surrogate pair, at which the library throws, counts as '?'. A test's client is asked on a loop: from a plain thread it now and then waited for ever (the front answered 28,000 raw tries without one).

--- a/src/main/java/larchridge/drill/DayFile.java
+++ b/src/main/java/larchridge/drill/DayFile.java
@@ -98,7 +98,7 @@
         JsonNode clients = day.path("clients");
         Script script = new Script(Math.floorMod(day.path("noise").asLong(1), 1_000_000L), fronts,
                 day.path("length").asDouble() / 1000, rate, day.path("discovery").path("notice").asDouble(300_000)
-                / 1000, day.path("allow").path("probes").asBoolean(false), false,
+                / 1000, day.path("allow").path("probes").asBoolean(false), false, null, false,
                 List.of(new Script.Tenant("drill", 1, 0, 0)), engines, mixes,
                 new Script.Clients(clients.path("retries").asInt(0), clients.path("backoff_us").asDouble(100_000)
                         / 1000, 0.01, 0.01, 0.1), troubles);
@@ -135,7 +135,7 @@
                     (int) Math.max(20, talk.path("new_tokens").asDouble(TOKS_OF_A_TURN)),
                     (int) talk.path("prefix_tokens").asDouble(0), Math.max(1, talk.path("prefixes").asInt(1)),
                     (int) Math.max(2, Math.min(60, talk.path("out_tokens").asDouble(24) / 4)),
-                    Math.max(1, talk.path("turns").asDouble(1))));
+                    Math.max(1, talk.path("turns").asDouble(1)), "prose"));
         }
         leftOut.add("answers are a quarter as long");
         return mixes;
--- a/src/main/java/larchridge/drill/Drill.java
+++ b/src/main/java/larchridge/drill/Drill.java
@@ -26,6 +26,9 @@
 import larchridge.state.Product;
 import larchridge.state.Role;
 import larchridge.state.Span;
+import larchridge.tokens.BadVocabulary;
+import larchridge.tokens.Vocabulary;
+import larchridge.tokens.VocabularyReader;
 
 /** Plays a script: real fronts, stand-in engines and clients over loopback, then the rules from the traffic. */
 public final class Drill {
@@ -115,6 +118,10 @@
         vertx = Vertx.vertx();
         Fronts fronts = null;
         try {
+            if (script.encoding() != null) {
+                Vocabulary vocabulary = VocabularyReader.named("v", script.encoding());
+                makes.keySet().forEach(id -> fleet.on(id, engine -> engine.counts = vocabulary::count));
+            }
             if (script.processes()) {
                 processes = new Processes(folder, site(), script.fronts());
                 fronts = processes;
@@ -144,7 +151,7 @@
                 bills = Bills.of(all, records());
             }
             return new Result(all, Rules.judge(all, figures()), Tally.of(all, script), bills, figures);
-        } catch (BadSite | BadList | BadLedger e) {
+        } catch (BadSite | BadList | BadLedger | BadVocabulary e) {
             throw new IllegalStateException("the drill's own site is not good: " + e.getMessage(), e);
         } finally {
             if (fronts != null) {
@@ -215,6 +222,9 @@
             }
             text.append(" }\n");
         }
+        if (script.counted() && script.encoding() != null) {
+            text.append("vocabulary { name: \"v\" encoding: \"").append(script.encoding()).append("\" }\n");
+        }
         for (Script.Mix mix : script.products()) {
             text.append(String.format(Locale.ROOT, "product { name: \"%s\" model: \"%s\" effect: %s revenue: %f"
                     + " slo_ms: %f time_limit_ms: %f token_ms: 60", mix.name(), mix.name(), mix.effect(),
@@ -223,7 +233,7 @@
                 text.append(String.format(Locale.ROOT, " dedup_span: %s dedup_memory_ms: %f", mix.span(),
                         mix.memoryMs()));
             }
-            text.append(" }\n");
+            text.append(script.counted() && script.encoding() != null ? " vocabulary: \"v\" }\n" : " }\n");
         }
         return text.toString();
     }
--- a/src/main/java/larchridge/drill/Load.java
+++ b/src/main/java/larchridge/drill/Load.java
@@ -106,7 +106,8 @@
         String question = "Pregunta " + random.nextInt(1_000_000) + " ";
         boolean whole = random.nextDouble() < script.clients().wholeShare();
         int out = 1 + (int) (session.mix.outToks() * (0.5 + random.nextDouble()));
-        String filler = text(session.mix.promptToks() / 2 + random.nextInt(session.mix.promptToks() + 1));
+        int quarter = session.mix.promptToks() / 2 + random.nextInt(session.mix.promptToks() + 1);
+        String filler = session.mix.text().equals("log") ? readings(4 * quarter) : text(quarter);
         new Try(session, name, 0, question + filler, whole, out, random.nextInt(ports.size())).ask();
     }
 
@@ -146,6 +147,16 @@
         return tenants.get(tenants.size() - 1).name();
     }
 
+    /** Readings of gauges: many more tokens a character than prose has. */
+    private String readings(int chars) {
+        StringBuilder text = new StringBuilder();
+        while (text.length() < chars) {
+            text.append("A").append(random.nextInt(400)).append(';').append(random.nextInt(100_000) / 100.0)
+                    .append(';').append(random.nextInt(100_000) / 1000.0).append('\n');
+        }
+        return text.toString();
+    }
+
     private static String text(int toks) {
         StringBuilder text = new StringBuilder();
         while (text.length() < toks * 4) {
--- a/src/main/java/larchridge/drill/Script.java
+++ b/src/main/java/larchridge/drill/Script.java
@@ -5,7 +5,8 @@
 
 /**
  * A drill: engines, load and troubles against time, milliseconds from the start. Fields that a file leaves out have the
- * defaults of {@link ScriptReader}.
+ * defaults of {@link ScriptReader}. Engines count by the encoding, or four characters a token where there is none; fronts
+ * count by it too if counted, or guess from bytes.
  */
 public record Script(
         @JsonProperty("seed") long seed,
@@ -15,6 +16,8 @@
         @JsonProperty("list_lag_ms") double listLagMs,
         @JsonProperty("probes") boolean probes,
         @JsonProperty("processes") boolean processes,
+        @JsonProperty("encoding") String encoding,
+        @JsonProperty("counted") boolean counted,
         @JsonProperty("tenants") List<Tenant> tenants,
         @JsonProperty("engines") List<Group> engines,
         @JsonProperty("products") List<Mix> products,
@@ -33,8 +36,8 @@
 
     /** The same script with another seed. */
     public Script withSeed(long other) {
-        return new Script(other, fronts, durationMs, ratePerS, listLagMs, probes, processes, tenants, engines, products,
-                clients, troubles);
+        return new Script(other, fronts, durationMs, ratePerS, listLagMs, probes, processes, encoding, counted, tenants, engines,
+                products, clients, troubles);
     }
 
     /** A product's part of the load. */
@@ -44,7 +47,7 @@
                       @JsonProperty("slo_ms") double sloMs, @JsonProperty("time_limit_ms") double limitMs,
                       @JsonProperty("prompt_tokens") int promptToks, @JsonProperty("shared_tokens") int sharedToks,
                       @JsonProperty("prefixes") int prefixes, @JsonProperty("output_tokens") int outToks,
-                      @JsonProperty("turns") double turns) { }
+                      @JsonProperty("turns") double turns, @JsonProperty("text") String text) { }
 
     /** What clients do: shares of all tries. */
     public record Clients(@JsonProperty("retries") int retries, @JsonProperty("retry_ms") double retryMs,
--- a/src/main/java/larchridge/drill/ScriptReader.java
+++ b/src/main/java/larchridge/drill/ScriptReader.java
@@ -68,7 +68,8 @@
                     : mix.effect(), mix.span() == null ? "ALL" : mix.span(), or(mix.memoryMs(), 60_000),
                     or(mix.revenue(), 1), or(mix.sloMs(), 600), or(mix.limitMs(), 2500), (int) or(mix.promptToks(),
                     400), mix.sharedToks(), Math.max(1, mix.prefixes()), (int) or(mix.outToks(), 24),
-                    or(mix.turns(), 1)));
+                    or(mix.turns(), 1),
+                    mix.text() == null ? "prose" : mix.text()));
         }
         List<Script.Trouble> troubles = new ArrayList<>();
         for (Script.Trouble trouble : raw.troubles() == null ? List.<Script.Trouble>of() : raw.troubles()) {
@@ -98,7 +99,8 @@
         }
         Script.Clients clients = raw.clients() == null ? new Script.Clients(0, 100, 0, 0, 0) : raw.clients();
         return new Script(raw.seed(), Math.max(1, raw.fronts()), or(raw.durationMs(), 10_000),
-                or(raw.ratePerS(), 20), or(raw.listLagMs(), 300), raw.probes(), raw.processes(), tenants, groups, mixes, clients, troubles);
+                or(raw.ratePerS(), 20), or(raw.listLagMs(), 300), raw.probes(), raw.processes(),
+                raw.encoding(), raw.counted(), tenants, groups, mixes, clients, troubles);
     }
 
     private static double or(double value, double otherwise) {
--- a/src/main/java/larchridge/front/Ask.java
+++ b/src/main/java/larchridge/front/Ask.java
@@ -1,6 +1,7 @@
 package larchridge.front;
 
 import java.util.List;
+import java.util.function.IntConsumer;
 import larchridge.enginelink.Order;
 import larchridge.site.Offer;
 import larchridge.site.Site;
@@ -17,8 +18,9 @@
  * @param whole      whether the client takes the answer in one piece
  * @param patienceMs how long the client waits, or infinity if it does not tell
  * @param repeatKey  the client's key of a deduplicated generation, or null
+ * @param reported   told on the front's loop what an engine reports of the prompt's length
  */
 public record Ask(Offer offer, Site.Tenant tenant, String model, String prompt, int promptToks, int sharedToks,
                   int maxToks, List<String> stops, Order.Sampling sampling, String prefix, String opening,
                   String talkBefore, String talkNow, boolean whole, boolean resent, double patienceMs,
-                  String repeatKey) { }
+                  String repeatKey, IntConsumer reported) { }
--- a/src/main/java/larchridge/front/Front.java
+++ b/src/main/java/larchridge/front/Front.java
@@ -464,6 +464,7 @@
             trip.ended = true;
             trip.state = state;
             trip.readToks = one.meter.read(promptToks);
+            one.ask.reported().accept(promptToks);
             trip.keptToks = keptToks;
             meters.leg(number, "read", "READ");
             guarded(one, () -> choice.readDone(trip.leg, keptToks, report, one.duty.isDone()));
--- a/src/main/java/larchridge/messages/MessagesDoor.java
+++ b/src/main/java/larchridge/messages/MessagesDoor.java
@@ -1,6 +1,7 @@
 package larchridge.messages;
 
 import io.vertx.core.Handler;
+import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
@@ -8,25 +9,32 @@
 import java.security.SecureRandom;
 import java.util.HexFormat;
 import java.util.Random;
+import java.util.concurrent.Callable;
 import larchridge.front.Ask;
 import larchridge.front.Front;
 import larchridge.front.Open;
 import larchridge.site.Limit;
 import larchridge.site.Site;
+import larchridge.tokens.Counters;
+import larchridge.tokens.Worth;
 
 /** The door of the messages API: {@code POST /v1/messages}, streamed or whole, on one front's loop. */
 public final class MessagesDoor implements Handler<HttpServerRequest> {
-    /** A body over this size is parsed off the loop. */
-    private static final int LARGE_BYTES = 128 << 10;
+    /** A body over this size is parsed and counted off the loop. */
+    private static final int LARGE_BYTES = 64 << 10;
+    /** Bytes that are parsed and looked up in a millisecond, as far as waiting for that is concerned. */
+    private static final double PARSED_BYTES_PER_MS = 30_000;
 
     private final Front front;
     private final Site site;
     private final MessagesReader reader;
+    private final Lengths lengths;
     private final Random ids = new Random(new SecureRandom().nextLong());
 
-    public MessagesDoor(Front front) {
+    public MessagesDoor(Front front, Counters counters) {
         this.front = front;
         site = front.site();
+        lengths = new Lengths(counters);
         reader = new MessagesReader(site);
     }
 
@@ -35,7 +43,8 @@
         String id = "req_" + HexFormat.of().toHexDigits(ids.nextLong()) + HexFormat.of().toHexDigits(ids.nextInt());
         HttpServerResponse response = request.response();
         response.putHeader("request-id", id);
-        if (!request.path().equals("/v1/messages")) {
+        boolean counts = request.path().equals("/v1/messages/count_tokens");
+        if (!counts && !request.path().equals("/v1/messages")) {
             refuse(request, id, ApiFault.notFound("no such path: " + request.path()), -1);
             return;
         }
@@ -55,7 +64,7 @@
             refuse(request, id, ApiFault.overloaded(front.isStopping() ? "This front is stopping" : "Overloaded"), 1);
             return;
         }
-        new Body(request, id, tenant).read();
+        new Body(request, id, tenant, counts).read();
     }
 
     private Site.Tenant caller(HttpServerRequest request) throws ApiFault {
@@ -113,11 +122,14 @@
         private final Site.Tenant tenant;
         private final Buffer bytes = Buffer.buffer();
         private long timer = -1;
-        private boolean left;
+        private volatile boolean left;
         private boolean whole;
         private Open open;
+        private final boolean counts;
+        private volatile Lengths.Measuring measuring;
 
-        Body(HttpServerRequest request, String id, Site.Tenant tenant) {
+        Body(HttpServerRequest request, String id, Site.Tenant tenant, boolean counts) {
+            this.counts = counts;
             this.request = request;
             this.id = id;
             this.tenant = tenant;
@@ -159,32 +171,106 @@
             whole = true;
             front.vertx().cancelTimer(timer);
             byte[] body = bytes.getBytes();
-            if (body.length <= LARGE_BYTES) {
+            if (body.length > LARGE_BYTES) {
+                aside(body.length / PARSED_BYTES_PER_MS, () -> {
+                    MessagesReader.Body read = reader.read(body, counts);
+                    if (look(read)) {
+                        count(true);
+                    }
+                    return read;
+                });
+                return;
+            }
+            try {
+                MessagesReader.Body read = reader.read(body, counts);
+                if (!look(read)) {
+                    take(read);
+                } else if (way() == Worth.Way.ASIDE) {
+                    aside(measuring.costMs(), () -> {
+                        measuring.finish();
+                        return read;
+                    });
+                } else {
+                    count(false);
+                    take(read);
+                }
+            } catch (ApiFault fault) {
+                fault(fault);
+            }
+        }
+
+        /** Whether there is anything to count. */
+        private boolean look(MessagesReader.Body read) {
+            measuring = read.countable() == null ? null : lengths.new Measuring(read);
+            return measuring != null;
+        }
+
+        /** Who asks for a count gets it, be it long; for a generation a guess may do. */
+        private Worth.Way way() {
+            Worth.Way way = measuring.way();
+            return counts && way == Worth.Way.GUESS ? Worth.Way.ASIDE : way;
+        }
+
+        private void count(boolean isAside) {
+            Worth.Way way = way();
+            if (way == Worth.Way.NOW || isAside && way == Worth.Way.ASIDE) {
+                measuring.finish();
+            }
+        }
+
+        /** Runs work on the threads aside, then goes on on the loop; a client that left by then is let be. */
+        private void aside(double expectedMs, Callable<MessagesReader.Body> work) {
+            Promise<MessagesReader.Body> done = Promise.promise();
+            long waits = front.vertx().setTimer((long) site.limit.bodyMs, late -> done.tryFail(
+                    ApiFault.overloaded("Overloaded")));
+            boolean taken = lengths.counters.workers.take(expectedMs, () -> {
+                if (left || done.future().isComplete()) {
+                    return;
+                }
                 try {
-                    take(reader.read(body));
-                } catch (ApiFault fault) {
-                    fault(fault);
+                    MessagesReader.Body read = work.call();
+                    front.loop().runOnContext(v -> done.tryComplete(read));
+                } catch (Exception e) {
+                    front.loop().runOnContext(v -> done.tryFail(e));
                 }
-                return;
+            });
+            if (!taken) {
+                done.tryFail(ApiFault.overloaded("Overloaded"));
             }
-            front.vertx().executeBlocking(() -> reader.read(body), false).onComplete(parsed -> {
+            done.future().onComplete(read -> {
+                front.vertx().cancelTimer(waits);
                 if (left) {
                     return;
                 }
-                if (parsed.succeeded()) {
-                    take(parsed.result());
-                } else {
-                    fault(parsed.cause() instanceof ApiFault fault ? fault : ApiFault.internal("Internal error"));
+                if (read.failed()) {
+                    fault(read.cause() instanceof ApiFault fault ? fault : ApiFault.internal("Internal error"));
+                    return;
+                }
+                try {
+                    take(read.result());
+                } catch (ApiFault fault) {
+                    fault(fault);
                 }
             });
         }
 
-        private void take(MessagesReader.Body body) {
+        private void take(MessagesReader.Body read) throws ApiFault {
+            Lengths.Measuring counted = measuring;
+            MessagesReader.Body body = counted == null ? read : lengths.measured(counted, counts);
+            if (counts) {
+                request.response().putHeader("content-type", "application/json")
+                        .end("{\"input_tokens\":" + body.promptToks() + "}");
+                return;
+            }
+            // Only the number is kept: the text would be held a second time for as long as the generation is open.
+            int expected = counted == null ? -1 : Lengths.expected(counted);
             String key = request.getHeader("idempotency-key");
             Ask ask = new Ask(body.offer(), tenant, body.engineModel(), body.prompt(), body.promptToks(),
                     body.sharedToks(), body.maxToks(), body.stops(), body.sampling(), body.prefix(), body.opening(),
                     body.talkBefore(), body.talkNow(), !body.stream(), retries() > 0, patienceMs(),
-                    key == null ? null : Site.sha256(tenant.name() + '\n' + key));
+                    key == null ? null : Site.sha256(tenant.name() + '\n' + key),
+                    toks -> lengths.reported(body.engineModel(), expected, toks));
+            measuring = null;
             MessagesClient client = new MessagesClient(front, request.response(), id, body);
             front.take(ask, client, taken -> {
                 open = taken;
@@ -216,6 +302,10 @@
                 return;
             }
             left = true;
+            Lengths.Measuring running = measuring;
+            if (running != null) {
+                running.callOff();
+            }
             if (timer >= 0) {
                 front.vertx().cancelTimer(timer);
             }
--- a/src/main/java/larchridge/messages/MessagesReader.java
+++ b/src/main/java/larchridge/messages/MessagesReader.java
@@ -34,7 +34,16 @@
     /** A body as read: the front's ask without what the headers tell. */
     record Body(Offer offer, String model, String engineModel, String prompt, int promptToks, int sharedToks,
                 int maxToks, List<String> stops, Order.Sampling sampling, String prefix, String opening,
-                String talkBefore, String talkNow, boolean stream) { }
+                String talkBefore, String talkNow, boolean stream, Countable countable) {
+        /** The same with lengths that are known better. */
+        Body withToks(int prompt, int shared) {
+            return new Body(offer, model, engineModel, this.prompt, Math.max(1, prompt), Math.min(shared, prompt),
+                    maxToks, stops, sampling, prefix, opening, talkBefore, talkNow, stream, null);
+        }
+    }
+
+    /** What is to be counted: the prompt and its shared beginning without images, and how many stand beside them. */
+    record Countable(String prompt, String shared, int images, int sharedImages, int messages) { }
 
     MessagesReader(Site site) {
         this.site = site;
@@ -48,6 +57,11 @@
     }
 
     Body read(byte[] bytes) throws ApiFault {
+        return read(bytes, false);
+    }
+
+    /** Reads a body; one that is only to be counted needs no max_tokens. */
+    Body read(byte[] bytes, boolean onlyCounted) throws ApiFault {
         JsonNode root;
         try {
             root = mapper.readTree(bytes);
@@ -67,7 +81,7 @@
         if (offer == null) {
             throw ApiFault.notFound("model: " + model);
         }
-        int most = whole(root, "max_tokens", 1, Integer.MAX_VALUE);
+        int most = onlyCounted ? 1 : whole(root, "max_tokens", 1, Integer.MAX_VALUE);
         if (most > offer.mostToks) {
             throw ApiFault.invalid("max_tokens: " + most + " > " + offer.mostToks + ", the most of " + model);
         }
@@ -88,7 +102,9 @@
                 sampling, shared == 0 ? null : Site.sha256(prompt.substring(0, shared)),
                 Site.sha256(prompt.substring(0, rendered.openingEnd)),
                 rendered.beforeAssistant < 0 ? null : Site.sha256(prompt.substring(0, rendered.beforeAssistant)),
-                Site.sha256(prompt), stream);
+                Site.sha256(prompt), stream, offer.measure.vocabulary() == null ? null : new Countable(
+                        rendered.without(prompt + opener, Integer.MAX_VALUE), rendered.without(prompt, shared),
+                        rendered.images(Integer.MAX_VALUE), rendered.images(shared), root.path("messages").size()));
     }
 
     /** Tokens of the first chars of a prompt, by the site's bytes a token. */
@@ -108,6 +124,31 @@
         int openingEnd;
         int beforeAssistant = -1;
 
+        /** Where images and documents begin and end, in pairs. */
+        final List<Integer> images = new ArrayList<>();
+
+        /** The text up to there without images. */
+        String without(String prompt, int end) {
+            if (images.isEmpty()) {
+                return prompt.substring(0, Math.min(end, prompt.length()));
+            }
+            StringBuilder rest = new StringBuilder();
+            int from = 0;
+            for (int i = 0; i < images.size() && images.get(i) < end; i += 2) {
+                rest.append(prompt, from, images.get(i));
+                from = images.get(i + 1);
+            }
+            return rest.append(prompt, from, Math.max(from, Math.min(end, prompt.length()))).toString();
+        }
+
+        int images(int end) {
+            int count = 0;
+            for (int i = 0; i < images.size() && images.get(i) < end; i += 2) {
+                count++;
+            }
+            return count;
+        }
+
         void markHead() {
             headEnd = text.length();
         }
@@ -267,7 +308,9 @@
                 JsonNode source = block.path("source");
                 object(source, path + ".source");
                 text(source, "type", path + ".source.type");
+                rendered.images.add(rendered.text.length());
                 rendered.text.append("<|").append(type).append("|>").append(source);
+                rendered.images.add(rendered.text.length());
             }
             default -> rendered.text.append("<|").append(type).append("|>")
                     .append(block.path("thinking").asText(block.path("data").asText("")));
--- a/src/main/java/larchridge/serve/Service.java
+++ b/src/main/java/larchridge/serve/Service.java
@@ -34,6 +34,7 @@
 import larchridge.messages.MessagesDoor;
 import larchridge.metrics.Meters;
 import larchridge.site.Site;
+import larchridge.tokens.Counters;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -50,6 +51,7 @@
     private final List<Front> fronts = new CopyOnWriteArrayList<>();
     private HttpServer admin;
     private Ledger ledger;
+    private final Counters counters;
     private Map<Ledger.Line, Total> used = Map.of();
     private ListFollower follower;
     /** Lends what is not in fixed parts; used on the admin listener's loop only. */
@@ -62,6 +64,8 @@
             // Danger: with the same chance draws at every front, fronts that see the same would all choose the same.
             site.seed = System.nanoTime() ^ ProcessHandle.current().pid() << 40;
         }
+        counters = new Counters(site.limit.countCacheBytes, site.limit.countThreads, site.limit.countWaits,
+                site.limit.bytesPerTok);
         vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(Math.max(2, site.fronts + 1))
                 .setPreferNativeTransport(true));
     }
@@ -179,6 +183,7 @@
         } catch (ExecutionException | TimeoutException e) {
             LOG.error("the loops did not close", e);
         }
+        counters.close();
         if (ledger != null) {
             ledger.close();
         }
@@ -222,7 +227,7 @@
                 }
                 connection.closeHandler(closed -> connections[0]--);
             });
-            server.requestHandler(new MessagesDoor(front));
+            server.requestHandler(new MessagesDoor(front, counters));
             server.invalidRequestHandler(io.vertx.core.http.HttpServerRequest.DEFAULT_INVALID_REQUEST_HANDLER);
             int port = site.port == 0 ? 0 : site.ownPorts ? site.port + number : site.port;
             return server.listen(port, site.host);
--- a/src/main/java/larchridge/site/Limit.java
+++ b/src/main/java/larchridge/site/Limit.java
@@ -4,6 +4,9 @@
 public final class Limit {
     public int openGenerations;
     public int connections;
+    public long countCacheBytes;
+    public int countThreads;
+    public int countWaits;
     public long bodyBytes;
     public int headerBytes;
     public int nesting;
--- a/src/main/java/larchridge/site/Offer.java
+++ b/src/main/java/larchridge/site/Offer.java
@@ -1,6 +1,7 @@
 package larchridge.site;
 
 import larchridge.state.Product;
+import larchridge.tokens.Measure;
 
 /** A product as clients ask for it: its models and how long a client waits for a first token. */
 public final class Offer {
@@ -12,14 +13,17 @@
     public final double limitMs;
     public final double limitMsPerTok;
     public final int mostToks;
+    public final Measure measure;
 
-    public Offer(Product product, Product borrowed, String engineModel, double limitMs, double limitMsPerTok, int mostToks) {
+    public Offer(Product product, Product borrowed, String engineModel, double limitMs, double limitMsPerTok, int mostToks,
+                 Measure measure) {
         this.product = product;
         this.borrowed = borrowed;
         this.engineModel = engineModel;
         this.limitMs = limitMs;
         this.limitMsPerTok = limitMsPerTok;
         this.mostToks = mostToks;
+        this.measure = measure;
     }
 
     /** How long a client waits for the first token of a prompt, in milliseconds. */
--- a/src/main/java/larchridge/site/SiteReader.java
+++ b/src/main/java/larchridge/site/SiteReader.java
@@ -24,9 +24,15 @@
 import larchridge.site.form.SiteText;
 import larchridge.site.form.SpanText;
 import larchridge.site.form.TenantText;
+import larchridge.site.form.VocabularyText;
 import larchridge.state.Effect;
 import larchridge.state.Product;
 import larchridge.state.Span;
+import larchridge.tokens.BadVocabulary;
+import larchridge.tokens.Measure;
+import larchridge.tokens.Split;
+import larchridge.tokens.Vocabulary;
+import larchridge.tokens.VocabularyReader;
 
 /**
  * Reads a site file (protobuf text format, form in {@code site.proto}), checks it and derives a {@link Site}. All
@@ -107,6 +113,7 @@
             faults.add(file + ":1: product: missing; at least one is needed");
         }
         Map<String, Integer> lineOfModel = new HashMap<>();
+        Map<String, Vocabulary> vocabularies = vocabularies(root, form);
         for (int i = 0; i < form.getProductCount(); i++) {
             ProductText text = form.getProduct(i);
             At at = root.item("product", i, text);
@@ -141,7 +148,7 @@
             Offer offer = new Offer(product, borrowed, at.text("engine_model", ""),
                     at.number("time_limit_ms", Double.NaN, 1, 1e7),
                     at.number("time_limit_ms_per_1000_tokens", 0, 0, 1e6) / 1000,
-                    (int) at.number("most_tokens", 4096, 1, 1e7));
+                    (int) at.number("most_tokens", 4096, 1, 1e7), measure(at, text, vocabularies));
             if (offer.limitMs < product.sloMs) {
                 at.fault("time_limit_ms", "is " + offer.limitMs + ", under slo_ms " + product.sloMs);
             }
@@ -158,6 +165,48 @@
         }
     }
 
+    private Measure measure(At at, ProductText text, Map<String, Vocabulary> vocabularies) {
+        Vocabulary vocabulary = vocabularies.get(text.getVocabulary());
+        if (vocabulary == null && !text.getVocabulary().isEmpty() && !vocabularies.containsKey(text.getVocabulary())) {
+            at.fault("vocabulary", "'" + text.getVocabulary() + "' is no vocabulary of this file");
+        }
+        return new Measure(vocabulary, (int) at.number("window_tokens", Integer.MAX_VALUE, 1, Integer.MAX_VALUE),
+                (int) at.number("image_tokens", Measure.GUESSED.imageToks(), 0, 1e6),
+                (int) at.number("message_tokens", 0, 0, 1000));
+    }
+
+    /** By name; null for one that can't be used, which has been told. */
+    private Map<String, Vocabulary> vocabularies(At root, SiteText form) {
+        Map<String, Vocabulary> read = new HashMap<>();
+        for (int i = 0; i < form.getVocabularyCount(); i++) {
+            VocabularyText text = form.getVocabulary(i);
+            At at = root.item("vocabulary", i, text);
+            String name = at.text("name", null);
+            if (read.containsKey(name)) {
+                at.fault("name", "'" + name + "' is the name of two vocabularies");
+            }
+            if (text.getEncoding().isEmpty() == text.getFile().isEmpty()) {
+                at.fault("encoding", "either encoding or file is expected");
+                continue;
+            }
+            Split split = switch (text.getSplit()) {
+                case GPT2 -> Split.GPT2;
+                case CL100K -> Split.CL100K;
+                case O200K -> Split.O200K;
+                default -> null;
+            };
+            try {
+                read.put(name, !text.getEncoding().isEmpty() ? VocabularyReader.named(name, text.getEncoding())
+                        : VocabularyReader.file(name, folder == null ? Path.of(text.getFile())
+                        : folder.resolve(text.getFile()), split));
+            } catch (BadVocabulary e) {
+                at.fault(text.getEncoding().isEmpty() ? "file" : "encoding", e.getMessage());
+                read.put(name, null);
+            }
+        }
+        return read;
+    }
+
     private void tenants(At root, SiteText form, Site site) {
         Map<String, String> owners = new HashMap<>();
         for (int i = 0; i < form.getTenantCount(); i++) {
@@ -260,6 +309,9 @@
 
     private void limits(At at, Limit limit) {
         limit.openGenerations = (int) at.number("open_generations", 10_000, 1, 1e7);
+        limit.countCacheBytes = (long) at.number("count_cache_bytes", 64 << 20, 1 << 16, 1e11);
+        limit.countThreads = (int) at.number("count_threads", 2, 1, 64);
+        limit.countWaits = (int) at.number("count_waits", 2048, 1, 1e6);
         limit.connections = (int) at.number("connections", 20_000, 1, 1e7);
         limit.bodyBytes = (long) at.number("body_bytes", 32 << 20, 1000, 1 << 30);
         limit.headerBytes = (int) at.number("header_bytes", 16_384, 1000, 1 << 20);
--- a/src/main/java/larchridge/standin/StandIn.java
+++ b/src/main/java/larchridge/standin/StandIn.java
@@ -23,6 +23,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.ToIntFunction;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import larchridge.state.Role;
@@ -45,6 +46,8 @@
 
     public final Make make;
     public final Mood mood = new Mood();
+    /** Tokens of a prompt; four characters each unless it is told otherwise. */
+    public ToIntFunction<String> counts = prompt -> prompt.length() / CHARS_A_TOK;
     private final Vertx vertx;
     private final Witness witness;
     private final Random random;
@@ -230,7 +233,7 @@
         while (tag.find()) {
             found = tag.group(1);
         }
-        Job job = new Job(rid, found, response, Math.max(1, prompt.length() / CHARS_A_TOK),
+        Job job = new Job(rid, found, response, Math.max(1, counts.applyAsInt(prompt)),
                 json.path("max_tokens").asInt(16), handle, reads);
         witness.saw(reads ? Witness.Sight.READ_IN : Witness.Sight.WRITE_IN, make.id(), rid, job.tag, job.toks);
         Runnable out = () -> leave(job);
@@ -265,7 +268,7 @@
         }
         job.length = Math.min(job.most, wanted);
         if (reads || handle == null) {
-            job.keptToks = keep(prompt);
+            job.keptToks = keep(prompt) * job.toks * CHARS_A_TOK / Math.max(CHARS_A_TOK, prompt.length());
             job.unread = Math.max(1, job.toks - job.keptToks);
             reading.add(job);
         } else {
--- /dev/null
+++ b/src/main/java/larchridge/tokens/Chunks.java
@@ -0,0 +1,37 @@
+package larchridge.tokens;
+
+/**
+ * Cuts a text where its tokens are cut anyway, so that the tokens of the parts add up to those of the whole: before a
+ * space that follows a letter. The cuts depend on what is before them only, and so are the same for every text with
+ * the same beginning: a conversation's next turn finds the parts of the turns before. Without state.
+ */
+public final class Chunks {
+    /** A part is at least this long, but for the last. */
+    public static final int CHARS = 4096;
+
+    private Chunks() { }
+
+    /** Where the part that begins there ends. */
+    public static int end(String text, int from) {
+        for (int i = from + CHARS; i < text.length(); i++) {
+            if (isCut(text, i)) {
+                return i;
+            }
+        }
+        return text.length();
+    }
+
+    /** Whether no token goes over this place. */
+    public static boolean isCut(String text, int at) {
+        char before = text.charAt(at - 1);
+        // A letter beyond the basic plane is two chars; neither is a letter by itself.
+        return text.charAt(at) == ' ' && Character.isLetter(before) && isPlainLetter(before);
+    }
+
+    /** Marks that some patterns let follow letters are none. */
+    private static boolean isPlainLetter(char c) {
+        int type = Character.getType(c);
+        return type == Character.LOWERCASE_LETTER || type == Character.UPPERCASE_LETTER
+                || type == Character.OTHER_LETTER;
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/tokens/CountCache.java
@@ -0,0 +1,60 @@
+package larchridge.tokens;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+
+/**
+ * What parts of texts counted, by the digest of the part. Shared by the fronts of a process; reading takes no lock. It
+ * holds so many bytes at most; what is asked for often stays when much comes that is asked for once (W-TinyLFU).
+ */
+public final class CountCache {
+    /** What an entry takes: key, count, node, and its place in the table. */
+    static final int ENTRY_BYTES = 160;
+
+    private final Cache<Key, Integer> counts;
+
+    record Key(long high, long low, String vocabulary) { }
+
+    public CountCache(long mostBytes) {
+        counts = Caffeine.newBuilder().maximumSize(Math.max(1, mostBytes / ENTRY_BYTES)).recordStats().build();
+    }
+
+    /** A key that only the same part has: half of a SHA-256, so that nobody can make another part with it. */
+    static Key key(String part, String vocabulary) {
+        try {
+            ByteBuffer digest = ByteBuffer.wrap(MessageDigest.getInstance("SHA-256")
+                    .digest(part.getBytes(StandardCharsets.UTF_8)));
+            return new Key(digest.getLong(), digest.getLong(), vocabulary);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java has SHA-256", e);
+        }
+    }
+
+    /** The count of a part, or -1. */
+    int get(Key key) {
+        Integer count = counts.getIfPresent(key);
+        return count == null ? -1 : count;
+    }
+
+    void put(Key key, int count) {
+        counts.put(key, count);
+    }
+
+    /** The share of lookups that found a count. */
+    public double hitRate() {
+        return counts.stats().hitRate();
+    }
+
+    /** Does what is put off: evictions. */
+    void cleanUp() {
+        counts.cleanUp();
+    }
+
+    public long size() {
+        return counts.estimatedSize();
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/tokens/Pace.java
@@ -0,0 +1,30 @@
+package larchridge.tokens;
+
+/**
+ * How fast counting is here, and how many tokens a character has, from what was counted of late. Any thread may tell it;
+ * a lost update of two that meet does no harm.
+ */
+public final class Pace {
+    private static final double KEPT = 0.9;
+
+    private volatile double nsAChar = 100;
+    private volatile double toksAChar;
+
+    /** Begins with what a site believes of its texts. */
+    public Pace(double toksAChar) {
+        this.toksAChar = toksAChar;
+    }
+
+    void counted(int chars, int toks, int ofChars, long ns) {
+        nsAChar = KEPT * nsAChar + (1 - KEPT) * ns / chars;
+        toksAChar = ofChars > 0 ? KEPT * toksAChar + (1 - KEPT) * toks / ofChars : toksAChar;
+    }
+
+    public double msFor(int chars) {
+        return chars * nsAChar / 1e6;
+    }
+
+    public double toksAChar() {
+        return toksAChar;
+    }
+}
--- a/src/test/java/larchridge/front/PatienceTest.java
+++ b/src/test/java/larchridge/front/PatienceTest.java
@@ -11,7 +11,7 @@
 
 class PatienceTest {
     private final Product product = new Product("p", Effect.IDEMPOTENT, Span.ALL, 0, 1, 0, 1000, 0, 50);
-    private final Offer offer = new Offer(product, product, "", 5000, 1, 100);
+    private final Offer offer = new Offer(product, product, "", 5000, 1, 100, larchridge.tokens.Measure.GUESSED);
 
     @Test
     void streamWaitsAsTheProductSaysForItsFirstTokenOnly() {
--- a/src/test/java/larchridge/serve/BillingTest.java
+++ b/src/test/java/larchridge/serve/BillingTest.java
@@ -105,7 +105,7 @@
             HttpClient many = town.http2();
             List<CompletableFuture<Town.Answer>> all = new ArrayList<>();
             for (int i = 0; i < 40; i++) {
-                all.add(Town.send(many, town.options(), Town.call("free", false, 100)));
+                all.add(town.send(many, town.options(), Town.call("free", false, 100)));
             }
             int in = 0;
             for (CompletableFuture<Town.Answer> each : all) {
--- a/src/test/java/larchridge/serve/ServiceTest.java
+++ b/src/test/java/larchridge/serve/ServiceTest.java
@@ -30,7 +30,7 @@
             assertTrue(whole.body().contains(order.text()));
             assertEquals("max_tokens", order.stopReason());
             assertTrue(whole.response().getHeader("request-id").startsWith("req_"));
-            Town.Answer over2 = Town.ask(town.http2(), town.options(), Town.call("free", true, 7));
+            Town.Answer over2 = town.ask(town.http2(), town.options(), Town.call("free", true, 7));
             assertEquals("w1 w2 w3 w4 w5 w6 w7 ", Town.order(over2.body()).text());
         }
     }
--- a/src/test/java/larchridge/serve/Town.java
+++ b/src/test/java/larchridge/serve/Town.java
@@ -1,5 +1,6 @@
 package larchridge.serve;
 
+import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -32,6 +33,8 @@
     final Path folder = Files.createTempDirectory("larchridge-town");
     final List<String> sights = new ArrayList<>();
     final HttpClient http = vertx.createHttpClient();
+    /** Clients are asked on this loop: from a thread that is none they now and then lose an answer, or wait for ever. */
+    private final Context calls = vertx.getOrCreateContext();
 
     record Answer(int status, String type, HttpClientResponse response, String body) { }
 
@@ -82,15 +85,17 @@
         }
     }
 
-    static Answer ask(HttpClient http, RequestOptions options, String body) throws Exception {
+    Answer ask(HttpClient http, RequestOptions options, String body) throws Exception {
         return send(http, options, body).get(10, TimeUnit.SECONDS);
     }
 
-    static CompletableFuture<Answer> send(HttpClient http, RequestOptions options, String body) {
-        return http.request(options).compose(request -> request.send(Buffer.buffer(body)))
+    CompletableFuture<Answer> send(HttpClient http, RequestOptions options, String body) {
+        CompletableFuture<Answer> answer = new CompletableFuture<>();
+        calls.runOnContext(v -> http.request(options).compose(request -> request.send(Buffer.buffer(body)))
                 .compose(response -> response.body().map(got -> new Answer(response.statusCode(),
                         type(got.toString()), response, got.toString())))
-                .toCompletionStage().toCompletableFuture();
+                .onSuccess(answer::complete).onFailure(answer::completeExceptionally));
+        return answer;
     }
 
     private static String type(String body) {
--- /dev/null
+++ b/src/test/java/larchridge/tokens/ExactTest.java
@@ -0,0 +1,121 @@
+package larchridge.tokens;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ExactTest {
+    @TempDir
+    Path folder;
+
+    @ParameterizedTest
+    @CsvSource({"cl100k_base,26000", "o200k_base,26000", "r50k_base,26000", "p50k_base,26000"})
+    void partsAddUpToTheWholeAtEveryCut(String encoding, int texts) throws Exception {
+        Vocabulary vocabulary = VocabularyReader.named("v", encoding);
+        long seed = 20261201;
+        Random random = new Random(seed);
+        int cuts = 0;
+        for (int n = 0; n < texts; n++) {
+            String text = Corpus.text(random, 1 + random.nextInt(20));
+            int whole = vocabulary.count(text);
+            boolean all = n % 20 == 0;
+            for (int at = 1; at < text.length(); at++) {
+                if (Chunks.isCut(text, at) && (all || random.nextInt(12) == 0)) {
+                    cuts++;
+                    int parts = vocabulary.count(text.substring(0, at)) + vocabulary.count(text.substring(at));
+                    assertEquals(whole, parts, "seed " + seed + ", text " + n + ", cut at " + at + ": " + text);
+                }
+            }
+        }
+        assertTrue(cuts > texts / 4, cuts + " cuts");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"cl100k_base,CL100K", "o200k_base,O200K", "r50k_base,GPT2"})
+    void rankFileCountsAsTheLibrarysOwn(String encoding, Split split) throws Exception {
+        Vocabulary own = VocabularyReader.named("v", encoding);
+        Vocabulary read = VocabularyReader.file("w", Corpus.ranks(folder, encoding), split);
+        Random random = new Random(7);
+        for (int n = 0; n < 4000; n++) {
+            String text = Corpus.text(random, 1 + random.nextInt(20));
+            assertEquals(own.count(text), read.count(text), "text " + n + ": " + text);
+        }
+    }
+
+    /** Merges that the ranks imply, in their order, must count like the library counts the ranks. */
+    @Test
+    void mergesCountAsTheRanksFromWhichTheyFollow() throws Exception {
+        List<String> lines = Files.readAllLines(Corpus.ranks(folder, "r50k_base")).subList(0, 6000);
+        Path ranks = folder.resolve("small.tiktoken");
+        Files.writeString(ranks, String.join("\n", lines) + "\n");
+        Map<String, Integer> rankOf = new HashMap<>();
+        StringBuilder vocab = new StringBuilder();
+        StringBuilder merges = new StringBuilder();
+        for (String line : lines) {
+            byte[] token = Base64.getDecoder().decode(line.split(" ")[0]);
+            int rank = Integer.parseInt(line.split(" ")[1]);
+            StringBuilder spelled = new StringBuilder();
+            List<String> parts = new ArrayList<>();
+            for (byte b : token) {
+                spelled.append(MergesVocabulary.alphabet(b & 255));
+                parts.add(String.valueOf(MergesVocabulary.alphabet(b & 255)));
+            }
+            while (parts.size() > 2) {
+                int best = -1;
+                for (int i = 0; i + 1 < parts.size(); i++) {
+                    Integer joined = rankOf.get(parts.get(i) + parts.get(i + 1));
+                    if (joined != null && (best < 0 || joined < rankOf.get(parts.get(best) + parts.get(best + 1)))) {
+                        best = i;
+                    }
+                }
+                parts.set(best, parts.get(best) + parts.remove(best + 1));
+            }
+            rankOf.put(spelled.toString(), rank);
+            vocab.append(vocab.length() == 0 ? "" : ",").append(json(spelled.toString())).append(':').append(rank);
+            if (parts.size() == 2) {
+                merges.append(merges.length() == 0 ? "" : ",").append(json(parts.get(0) + " " + parts.get(1)));
+            }
+        }
+        Path file = folder.resolve("tokenizer.json");
+        Files.writeString(file, "{\"pre_tokenizer\":{\"type\":\"ByteLevel\",\"add_prefix_space\":false},\"model\":{"
+                + "\"type\":\"BPE\",\"vocab\":{" + vocab + "},\"merges\":[" + merges + "]}}");
+        Vocabulary reference = VocabularyReader.file("r", ranks, Split.GPT2);
+        Vocabulary read = VocabularyReader.file("m", file, null);
+        Random random = new Random(11);
+        for (int n = 0; n < 8000; n++) {
+            String text = Corpus.text(random, 1 + random.nextInt(20));
+            assertEquals(reference.count(text), read.count(text), "text " + n + ": " + text);
+        }
+    }
+
+    private static String json(String text) {
+        return '"' + text.replace("\\", "\\\\").replace("\"", "\\\"") + '"';
+    }
+
+    @ParameterizedTest
+    @CsvSource({"a", "' '", "ñ", "\uD83C", "7", "'\n'", "ab ", "👩‍👩‍👧"})
+    void pathologicalTextsComeToAnEnd(String unit) throws Exception {
+        Vocabulary vocabulary = VocabularyReader.named("v", "cl100k_base");
+        String text = unit.repeat(200_000 / unit.length());
+        CountCache cache = new CountCache(1 << 20);
+        Counting counting = new Counting(text, vocabulary, cache);
+        Pace pace = new Pace(0.25);
+        assertTrue(counting.finish(pace));
+        Count count = counting.count(pace.toksAChar());
+        assertTrue(count.least() <= count.toks() && count.toks() <= count.most(), count.toString());
+        assertTrue(count.exact());
+        assertEquals(vocabulary.count(text), count.toks());
+    }
+}
--- /dev/null
+++ b/src/test/java/larchridge/tokens/WorthTest.java
@@ -0,0 +1,23 @@
+package larchridge.tokens;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class WorthTest {
+    @ParameterizedTest
+    @CsvSource({
+        // counting, waiting, guessed tokens, reader's tokens a ms, SLO time
+        "0.9, 500, 100, 10, 1000, NOW",
+        "20, 0, 50000, 10, 2000, ASIDE",
+        "20, 200, 50000, 10, 2000, GUESS",
+        "20, 0, 500, 10, 2000, GUESS",
+        "90, 0, 400000, 10, 1000, GUESS",
+        "90, 0, 400000, 10, 20000, ASIDE",
+        "20, 0, 50000, 0, 2000, ASIDE"})
+    void countsWhereThatTakesLessThanAGuessCosts(double countMs, double waitMs, double toks, double speed, double sloMs,
+                                                 Worth.Way way) {
+        assertEquals(way, Worth.of(countMs, waitMs, toks, speed, sloMs));
+    }
+}
