An answer may end only when its record is on disk

Change: ledger.answer_waits_ms. The end of a whole answer waits for its record, that long at most and never past the client's time; what a leg that comes home later did is joined to the bill as waste. The drill of bills uses it.

Result: tests: six answers, each on disk when it ends; late waste joined; verify green.

--- a/src/main/java/larchridge/drill/Processes.java
+++ b/src/main/java/larchridge/drill/Processes.java
@@ -27,7 +27,7 @@
             int port = free();
             Path file = folder.resolve("site" + i + ".textproto");
             Files.writeString(file, "listen { host: \"127.0.0.1\" port: " + port + " }\nledger { folder: \"ledger" + i
-                    + "\" }\nseed: " + (i + 1) + "\nfronts_of_service: " + fronts + "\n" + site);
+                    + "\" answer_waits_ms: 500 }\nseed: " + (i + 1) + "\nfronts_of_service: " + fronts + "\n" + site);
             ports.add(port);
             sites.add(file);
             running.add(launch(i));
--- a/src/main/java/larchridge/front/Front.java
+++ b/src/main/java/larchridge/front/Front.java
@@ -530,7 +530,7 @@
                 if (outcome == Outcome.STREAMED && one.duty.finish(Duty.Final.STREAMED)) {
                     one.meter.whole(ending.outToks());
                     answered(one, "streamed");
-                    one.client.streamed(ending);
+                    recorded(one, () -> one.client.streamed(ending));
                 } else {
                     // A stream that breaks is lost: part of it has been seen, so no other leg can go on with it.
                     terminate(one, Client.Cause.BROKEN);
@@ -682,14 +682,58 @@
         if (ledger == null || one.meter.used() + one.meter.wastedToks() <= 0) {
             return;
         }
-        Usage usage = new Usage(one.billId, one.ask.tenant().name(), one.gen.product.name, (long) nowMs,
+        if (!one.recorded) {
+            record(one, usage(one), null);
+        } else if (one.meter.wastedToks() > one.recordedWaste || one.trips.size() > one.recordedLegs) {
+            // What a second leg did that came home after the answer; its record is joined to the first.
+            record(one, new Usage(one.billId, one.ask.tenant().name(), one.gen.product.name, (long) nowMs, "waste",
+                    0, 0, 0, one.meter.wastedToks() - one.recordedWaste, one.trips.size() - one.recordedLegs), null);
+        }
+    }
+
+    private Usage usage(Open one) {
+        return new Usage(one.billId, one.ask.tenant().name(), one.gen.product.name, (long) nowMs,
                 one.duty.given().name().toLowerCase(Locale.ROOT), one.meter.promptToks(), one.meter.keptToks(),
                 one.meter.outToks(), one.meter.wastedToks(), one.trips.size());
-        if (!ledger.offer(usage)) {
-            meters.unbilled(number);
-            LOG.atError().addKeyValue("generation", one.gen.label).addKeyValue("tenant", usage.tenant())
-                    .addKeyValue("prompt", usage.promptToks()).addKeyValue("out", usage.outToks())
-                    .log("not written: the ledger's queue is full");
+    }
+
+    private boolean record(Open one, Usage usage, Runnable onDisk) {
+        if (ledger.offer(usage, onDisk)) {
+            return true;
+        }
+        meters.unbilled(number);
+        LOG.atError().addKeyValue("generation", one.gen.label).addKeyValue("tenant", usage.tenant())
+                .addKeyValue("prompt", usage.promptToks()).addKeyValue("out", usage.outToks())
+                .log("not written: the ledger's queue is full");
+        return false;
+    }
+
+    /**
+     * Where the site wants it, the end of a whole answer waits until its use is on disk, so that no kill in between
+     * leaves an answer that nobody is billed for. A slow disk holds it up no longer than the site says, nor than the client's time.
+     */
+    private void recorded(Open one, Runnable end) {
+        if (ledger == null || site.answerWaitsMs <= 0) {
+            end.run();
+            return;
+        }
+        one.client.soFar();
+        boolean[] told = new boolean[1];
+        Runnable once = () -> {
+            if (!told[0]) {
+                told[0] = true;
+                end.run();
+            }
+        };
+        one.recorded = record(one, usage(one), () -> loop.runOnContext(v -> once.run()));
+        one.recordedWaste = one.meter.wastedToks();
+        one.recordedLegs = one.trips.size();
+        double wait = one.recorded ? site.answerWaitsMs : 0;
+        wait = one.ask.whole() ? Math.min(wait, one.wholeAtMs - LAST_RESORT_MS - nowMs) : wait;
+        if (wait <= 0) {
+            once.run();
+        } else {
+            vertx.setTimer(delay(wait), timer -> once.run());
         }
     }
 
--- a/src/main/java/larchridge/front/Open.java
+++ b/src/main/java/larchridge/front/Open.java
@@ -27,6 +27,10 @@
     double lastPieceMs;
     double limitAtMs;
     double wholeAtMs;
+    /** Whether its use is in the ledger already, and the waste and legs of that record. */
+    boolean recorded;
+    long recordedWaste;
+    int recordedLegs;
     long limitTimer = -1;
     long quietTimer = -1;
 
--- a/src/main/java/larchridge/ledger/Ledger.java
+++ b/src/main/java/larchridge/ledger/Ledger.java
@@ -48,7 +48,7 @@
     private final DBOptions options;
     private final ColumnFamilyOptions familyOptions = new ColumnFamilyOptions();
     private final List<ColumnFamilyHandle> families = new ArrayList<>();
-    private final MpscBlockingConsumerArrayQueue<Usage> queue;
+    private final MpscBlockingConsumerArrayQueue<Entry> queue;
     private final int bound;
     private final Thread writer;
     private volatile boolean closing;
@@ -90,9 +90,17 @@
         }
     }
 
+    /** A record on its way, and who is to be told that it is on disk. */
+    private record Entry(Usage usage, Runnable written) { }
+
     /** Takes a record without waiting; false if as many wait as may. */
     public boolean offer(Usage usage) {
-        return queue.offer(usage);
+        return offer(usage, null);
+    }
+
+    /** The same; onDisk is run, on the ledger's thread, when the record is on disk, and never if it is not taken. */
+    public boolean offer(Usage usage, Runnable onDisk) {
+        return queue.offer(new Entry(usage, onDisk));
     }
 
     /** Whether so much waits for the disk that nothing more should be begun. */
@@ -107,11 +115,11 @@
     // ------------------------------------------------------------------ writing
 
     private void write() {
-        List<Usage> batch = new ArrayList<>(BATCH);
+        List<Entry> batch = new ArrayList<>(BATCH);
         try {
             while (!closing || !queue.isEmpty() || !batch.isEmpty()) {
                 if (batch.isEmpty()) {
-                    Usage first = queue.poll(50, TimeUnit.MILLISECONDS);
+                    Entry first = queue.poll(50, TimeUnit.MILLISECONDS);
                     if (first == null) {
                         continue;
                     }
@@ -120,6 +128,11 @@
                 }
                 if (commit(batch)) {
                     written += batch.size();
+                    for (Entry entry : batch) {
+                        if (entry.written != null) {
+                            entry.written.run();
+                        }
+                    }
                     batch.clear();
                 } else if (closing) {
                     LOG.error("{} records are lost: the ledger can't be written", batch.size() + queue.size());
@@ -133,11 +146,12 @@
         }
     }
 
-    private boolean commit(List<Usage> batch) {
+    private boolean commit(List<Entry> batch) {
         try (WriteBatch write = new WriteBatch(); WriteOptions sync = new WriteOptions().setSync(true)) {
             Map<String, Usage> usages = new HashMap<>();
             Map<String, Total> totals = new TreeMap<>();
-            for (Usage usage : batch) {
+            for (Entry entry : batch) {
+                Usage usage = entry.usage;
                 Usage before = usages.containsKey(usage.id()) ? usages.get(usage.id()) : usage(usage.id());
                 // Danger: a record that comes twice, or a client that asks again, must not be billed twice.
                 Usage now = before == null ? usage : before.equals(usage) ? before : Usage.joined(before, usage);
--- a/src/main/java/larchridge/site/Site.java
+++ b/src/main/java/larchridge/site/Site.java
@@ -42,6 +42,8 @@
     /** Where usage is written; null if it is not. */
     public Path ledger;
     public int ledgerWaits;
+    /** How long the end of an answer may wait for its record; 0 is not at all. */
+    public double answerWaitsMs;
     public String currency;
     public final Map<String, Price> prices = new LinkedHashMap<>();
     Grant budget = Grant.NONE;
--- a/src/main/java/larchridge/site/SiteReader.java
+++ b/src/main/java/larchridge/site/SiteReader.java
@@ -292,6 +292,7 @@
             At at = root.one("ledger", true);
             String into = at.text("folder", null);
             site.ledger = folder == null ? null : folder.resolve(into);
+            site.answerWaitsMs = at.number("answer_waits_ms", 0, 0, 60_000);
             site.ledgerWaits = (int) at.number("waiting_records", 65_536, 16, 1 << 24);
         }
     }
--- a/src/test/java/larchridge/ledger/LedgerTest.java
+++ b/src/test/java/larchridge/ledger/LedgerTest.java
@@ -146,4 +146,27 @@
         assertEquals("0.01", Price.money(new BigDecimal("0.005")));
         assertFalse(price.of(Total.ZERO).signum() != 0);
     }
+
+    @Test
+    void whoWaitsIsToldWhenTheRecordIsOnDisk() throws Exception {
+        try (Ledger ledger = Ledger.open(folder.resolve("ledger"), 100)) {
+            java.util.concurrent.CompletableFuture<Void> told = new java.util.concurrent.CompletableFuture<>();
+            assertTrue(ledger.offer(usage("a", 10), () -> told.complete(null)));
+            told.get(5, java.util.concurrent.TimeUnit.SECONDS);
+            try (Ledger copy = Ledger.look(killed("copy"))) {
+                assertEquals(10, sum(copy).outToks());
+            }
+        }
+    }
+
+    /** What a second leg did after the answer was recorded is waste of the same bill. */
+    @Test
+    void lateWasteIsAddedToItsBill() throws Exception {
+        try (Ledger ledger = Ledger.open(folder.resolve("ledger"), 100)) {
+            write(ledger, usage("a", 10));
+            write(ledger, new Usage("a", "t", "p", AT, "waste", 0, 0, 0, 100, 1));
+            assertEquals(new Total(1, 100, 40, 10, 105), sum(ledger));
+            assertEquals(List.of(), ledger.verify());
+        }
+    }
 }
--- a/src/test/java/larchridge/serve/BillingTest.java
+++ b/src/test/java/larchridge/serve/BillingTest.java
@@ -149,4 +149,17 @@
             assertTrue(total.wastedToks() > 0);
         }
     }
+
+    @Test
+    void recordIsOnDiskBeforeTheAnswerEnds() throws Exception {
+        try (Town town = new Town(LEDGER + "answer_waits_ms: 5000 ")) {
+            for (int i = 1; i <= 6; i++) {
+                town.ask(town.options(), Town.call("free", i % 2 == 0, 3 + i));
+                assertTrue(town.service.written() >= i, town.service.written() + " records when answer " + i + " ended");
+            }
+            Total total = bill(town);
+            assertEquals(6, total.generations());
+            assertEquals(3 * 6 + 21, total.outToks());
+        }
+    }
 }
