The time in which a body waits to be counted is its client's time

Cause: a large body waits for a thread that reads and counts it; its client's patience began only after that, so that a client with 0.3 s could wait longer than that and an engine was given work for it.

Change: the ask tells how long its body has waited, and the generation counts as arrived that much earlier.

Result: a test with eight 7.8 MB bodies before a client of 0.3 s: no leg is sent; without the change one is.

--- a/src/main/java/larchridge/front/Ask.java
+++ b/src/main/java/larchridge/front/Ask.java
@@ -18,9 +18,10 @@
  * @param whole      whether the client takes the answer in one piece
  * @param patienceMs how long the client waits, or infinity if it does not tell
  * @param repeatKey  the client's key of a deduplicated generation, or null
+ * @param waitedMs   how long its body has waited to be read and counted
  * @param reported   told on the front's loop what an engine reports of the prompt's length
  */
 public record Ask(Offer offer, Site.Tenant tenant, String model, String prompt, int promptToks, int sharedToks,
                   int maxToks, List<String> stops, Order.Sampling sampling, String prefix, String opening,
                   String talkBefore, String talkNow, boolean whole, boolean resent, double patienceMs,
-                  String repeatKey, IntConsumer reported) { }
+                  String repeatKey, double waitedMs, IntConsumer reported) { }
--- a/src/main/java/larchridge/front/Front.java
+++ b/src/main/java/larchridge/front/Front.java
@@ -153,7 +153,8 @@
      */
     public void take(Ask ask, Client client, Consumer<Open> told) {
         tick();
-        double arrivedMs = nowMs;
+        // Danger: a client whose body waited to be counted would wait that much longer than its time.
+        double arrivedMs = nowMs - ask.waitedMs();
         double toks = Budgets.estimate(ask.promptToks(), ask.maxToks());
         String tenant = ask.tenant().name();
         String product = ask.offer().product.name;
--- a/src/main/java/larchridge/messages/MessagesDoor.java
+++ b/src/main/java/larchridge/messages/MessagesDoor.java
@@ -126,6 +126,7 @@
         private boolean whole;
         private Open open;
         private final boolean counts;
+        private long completeNs;
         private volatile Lengths.Measuring measuring;
 
         Body(HttpServerRequest request, String id, Site.Tenant tenant, boolean counts) {
@@ -170,6 +171,7 @@
             }
             whole = true;
             front.vertx().cancelTimer(timer);
+            completeNs = System.nanoTime();
             byte[] body = bytes.getBytes();
             if (body.length > LARGE_BYTES) {
                 aside(body.length / PARSED_BYTES_PER_MS, () -> {
@@ -268,7 +270,7 @@
             Ask ask = new Ask(body.offer(), tenant, body.engineModel(), body.prompt(), body.promptToks(),
                     body.sharedToks(), body.maxToks(), body.stops(), body.sampling(), body.prefix(), body.opening(),
                     body.talkBefore(), body.talkNow(), !body.stream(), retries() > 0, patienceMs(),
-                    key == null ? null : Site.sha256(tenant.name() + '\n' + key),
+                    key == null ? null : Site.sha256(tenant.name() + '\n' + key), (System.nanoTime() - completeNs) / 1e6,
                     toks -> lengths.reported(body.engineModel(), expected, toks));
             measuring = null;
             MessagesClient client = new MessagesClient(front, request.response(), id, body);
--- a/src/test/java/larchridge/serve/CountingTest.java
+++ b/src/test/java/larchridge/serve/CountingTest.java
@@ -80,4 +80,24 @@
             assertEquals(200, town.ask(town.options(), Town.call("free", false, 3)).status());
         }
     }
+
+    /** Danger: the time in which a body is read and counted is the client's time too. */
+    @Test
+    void clientWhoseTimeRanOutWhileItsBodyWasCountedGetsNoLeg() throws Exception {
+        String large = "El caudal del Nalón sube. ".repeat(300_000);
+        try (Town town = new Town(SITE.replace("window_tokens: 1000 ", "").replace("count_waits: 4", "count_waits: 40"))) {
+            HttpClient many = town.http2();
+            List<CompletableFuture<Town.Answer>> before = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                before.add(town.send(many, count(town), body(i + large)));
+            }
+            CompletableFuture.anyOf(before.toArray(CompletableFuture[]::new)).get(20, TimeUnit.SECONDS);
+            // Read aside, since it is over 64 kB, and so behind those that are being counted.
+            Town.Answer answer = town.ask(town.options().putHeader("x-stainless-timeout", "0.3"),
+                    new JsonObject(body("x ".repeat(35_000))).put("max_tokens", 5).toString());
+            assertTrue(answer.status() == 504 || answer.status() == 529, "status " + answer.status());
+            assertEquals(0, town.count("READ_IN 1"));
+            CompletableFuture.allOf(before.toArray(CompletableFuture[]::new)).get(20, TimeUnit.SECONDS);
+        }
+    }
 }
