--- a/src/main/java/larchridge/budget/Lender.java
+++ b/src/main/java/larchridge/budget/Lender.java
@@ -11,6 +11,9 @@
  * still be out. Without I/O, clock or threads; time is milliseconds and passed in.
  */
 public final class Lender {
+    /** No generation has more; a question for more is a fault, and would leave a debt that nobody pays off. */
+    private static final double MOST_TOKS = 1e8;
+
     private final double share;
     private final Random unused = new Random(0);
     private final Map<String, Bucket> buckets = new LinkedHashMap<>();
@@ -40,7 +43,7 @@
     public double lend(String name, double need, double wish, double nowMs) {
         Bucket bucket = buckets.get(name);
         // Danger: what is asked comes over a wire; no number that is not one may enter the sums.
-        if (bucket == null || !(need >= 0) || !(wish >= 0)) {
+        if (bucket == null || !(need >= 0 && need <= MOST_TOKS) || !(wish >= 0)) {
             return 0;
         }
         if (need > 0 && !bucket.take(need, nowMs)) {
