--- a/src/main/java/larchridge/batch/BatchService.java
+++ b/src/main/java/larchridge/batch/BatchService.java
@@ -22,9 +22,9 @@
 import larchridge.tokens.Counters;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
-import org.eclipse.jetty.util.BlockingArrayQueue;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -37,7 +37,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(BatchService.class);
     private static final double TAKE_OVER_MS = 500;
     private static final double LOOK_MS = 100;
-    private static final int MOST_WAITING_CALLS = 1024;
+    private static final int MOST_CONNECTIONS = 1024;
+    private static final long OPEN_MS = 20_000;
 
     private final Site site;
     private final BatchTerms terms;
@@ -58,8 +59,7 @@
         this.counters = counters;
         this.points = points;
         terms = site.batch;
-        QueuedThreadPool threads = new QueuedThreadPool(terms.threads + 4, 4, 60_000,
-                new BlockingArrayQueue<>(64, 64, MOST_WAITING_CALLS));
+        QueuedThreadPool threads = new QueuedThreadPool(terms.threads + 4, 4, 60_000);
         threads.setName("batch-api");
         threads.setDaemon(true);
         server = new Server(threads);
@@ -71,6 +71,8 @@
         connector.setPort(terms.port);
         connector.setIdleTimeout((long) site.limit.idleConnectionMs);
         server.addConnector(connector);
+        // What waits for a thread is bounded by who may be connected.
+        server.addBean(new NetworkConnectionLimit(MOST_CONNECTIONS, connector));
         server.setHandler(new BatchDoor(site, this));
     }
 
@@ -83,13 +85,24 @@
         service.gauge(registry, "larchridge_batch_falls_a_minute", Batches.Figures::fallsAMinute);
         service.gauge(registry, "larchridge_batches_active", Batches.Figures::active);
         service.gauge(registry, "larchridge_batches_finished", Batches.Figures::finished);
+        try {
+            service.loop.ask(() -> {
+                service.own();
+                return null;
+            }).get(OPEN_MS, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            LOG.warn("the store takes long to open; the batch API answers 503 until then");
+        } catch (ExecutionException e) {
+            throw new IOException("the store can't be opened: " + e.getCause().getMessage(), e.getCause());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         try {
             service.server.start();
         } catch (Exception e) {
             throw new IOException("the batch API can't listen on " + site.batch.host + ":" + site.batch.port + ": "
                     + e.getMessage(), e);
         }
-        service.loop.execute(service::own);
         return service;
     }
 
--- a/src/main/java/larchridge/cli/Main.java
+++ b/src/main/java/larchridge/cli/Main.java
@@ -12,6 +12,7 @@
         description = "A router for language-model serving with reading and writing on separate engines.",
         subcommands = {ServeCommand.class, DemoCommand.class, EngineCommand.class, CheckCommand.class,
             DrillCommand.class, PumpCommand.class, SoakCommand.class, BillCommand.class, LedgerCommand.class,
+            StoreCommand.class, KillsCommand.class,
             BenchlinkCommand.class, AutoComplete.GenerateCompletion.class})
 public final class Main implements Callable<Integer> {
     @Spec
--- a/src/main/java/larchridge/cli/ServeCommand.java
+++ b/src/main/java/larchridge/cli/ServeCommand.java
@@ -6,6 +6,7 @@
 import java.nio.file.attribute.FileTime;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import larchridge.inventory.BadList;
 import larchridge.ledger.BadLedger;
 import larchridge.serve.Rehearsal;
@@ -13,6 +14,7 @@
 import larchridge.site.BadSite;
 import larchridge.site.Site;
 import larchridge.site.SiteReader;
+import larchridge.store.Points;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine.Command;
@@ -32,6 +34,19 @@
             description = "generations played to itself before it listens; 0 for none (default: ${DEFAULT-VALUE})")
     private int rehearsals;
 
+    @Option(names = "--halt-at-write", hidden = true, description = "for drills: end the process at the store's write of "
+            + "this number")
+    private int haltAtWrite;
+
+    private Points halt() {
+        AtomicInteger left = new AtomicInteger(haltAtWrite);
+        return name -> {
+            if (left.decrementAndGet() == 0) {
+                Runtime.getRuntime().halt(137);
+            }
+        };
+    }
+
     @Override
     public Integer call() throws InterruptedException {
         Site read;
@@ -41,7 +56,7 @@
             if (rehearsals > 0) {
                 Rehearsal.play(rehearsals);
             }
-            service = Service.start(read);
+            service = Service.start(read, haltAtWrite > 0 ? halt() : Points.NONE);
         } catch (BadSite | BadList | BadLedger e) {
             System.err.println(e.getMessage());
             return 1;
--- a/src/main/java/larchridge/drill/Processes.java
+++ b/src/main/java/larchridge/drill/Processes.java
@@ -37,19 +37,22 @@
         }
     }
 
-    private static int free() throws IOException {
+    static int free() throws IOException {
         try (ServerSocket socket = new ServerSocket(0)) {
             return socket.getLocalPort();
         }
     }
 
     private Process launch(int front) throws IOException {
-        return new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx300m", "-cp",
-                System.getProperty("java.class.path"), "larchridge.cli.Main", "serve", "--site",
-                sites.get(front).toString())
-                .redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(new File(folder.toFile(), "front" + front + ".log")))
-                .start();
+        return launch(sites.get(front), new File(folder.toFile(), "front" + front + ".log"));
+    }
+
+    /** Serves a site in a process of its own. */
+    static Process launch(Path site, File log, String... more) throws IOException {
+        List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx300m", "-cp",
+                System.getProperty("java.class.path"), "larchridge.cli.Main", "serve", "--site", site.toString()));
+        words.addAll(List.of(more));
+        return new ProcessBuilder(words).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log)).start();
     }
 
     private void await(int front) throws IOException, InterruptedException {
--- a/src/main/java/larchridge/serve/Service.java
+++ b/src/main/java/larchridge/serve/Service.java
@@ -56,6 +56,7 @@
     private final List<Seat> seats = new ArrayList<>();
     /** What each front is told of lists; a list goes to all, each on its own loop. */
     private final List<Front> fronts = new CopyOnWriteArrayList<>();
+    private boolean stopped;
     private HttpServer admin;
     private Ledger ledger;
     private final Counters counters;
@@ -208,6 +209,10 @@
 
     /** Stops as the site file says: what is open may end until the stop time. Returns when all is over. */
     public void stop() throws InterruptedException {
+        if (stopped) {
+            return;
+        }
+        stopped = true;
         follower.stop();
         if (batch != null) {
             batch.drain();
--- a/src/test/java/larchridge/serve/Town.java
+++ b/src/test/java/larchridge/serve/Town.java
@@ -30,6 +30,8 @@
     final Vertx vertx = Vertx.vertx();
     final Fleet fleet;
     final Service service;
+    /** Its site file. */
+    final String text;
     final Path folder = Files.createTempDirectory("larchridge-town");
     final List<String> sights = new ArrayList<>();
     final HttpClient http = vertx.createHttpClient();
@@ -50,7 +52,7 @@
         };
         fleet = Fleet.start(makes, witness, 1);
         fleet.writeList(folder.resolve("engines.yaml"));
-        service = Service.start(SiteReader.read("site", """
+        text = """
                 listen { host: "127.0.0.1" port: 0 }
                 admin { host: "127.0.0.1" port: 0 }
                 seed: 1
@@ -60,7 +62,8 @@
                 product { name: "once" model: "once" effect: SIDE_EFFECTING slo_ms: 800 time_limit_ms: 900 }
                 engines { reports_with_answers: true }
                 limits { %s }
-                """.formatted(larchridge.site.Site.sha256("key"), limits), folder));
+                """.formatted(larchridge.site.Site.sha256("key"), limits);
+        service = Service.start(SiteReader.read("site", text, folder));
     }
 
     int port() {
--- /dev/null
+++ b/src/test/java/larchridge/store/StoreTest.java
@@ -0,0 +1,260 @@
+package larchridge.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.channels.Channels;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import larchridge.store.form.AnswerForm;
+import larchridge.store.form.BatchForm;
+import larchridge.store.form.FileForm;
+import larchridge.store.form.StateForm;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class StoreTest {
+    private Path folder;
+    private Store store;
+
+    /** The process ends here. */
+    private static final class Halt extends Error {
+        private static final long serialVersionUID = 1;
+    }
+
+    @BeforeEach
+    void open() throws IOException {
+        folder = Files.createTempDirectory("larchridge-store");
+        store = Store.open(folder.resolve("s"), Points.NONE);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        store.close();
+        remove(folder);
+    }
+
+    private static void remove(Path folder) throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    private static FileForm keep(Store store, String tenant, String text) throws IOException {
+        Incoming incoming = store.receive();
+        incoming.write(text.getBytes(StandardCharsets.UTF_8), 0, text.length());
+        return store.keep(incoming.synced(), tenant, "n", "batch", 1);
+    }
+
+    private static String read(Store store, FileForm file) throws IOException {
+        return new String(Channels.newInputStream(store.content(file)).readAllBytes(), StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void secondOwnerIsTurnedAwayAndTakesOverWhenTheFirstIsGone() throws IOException {
+        assertThrows(Store.Taken.class, () -> Store.open(folder.resolve("s"), Points.NONE));
+        long epoch = store.epoch();
+        store.close();
+        store = Store.open(folder.resolve("s"), Points.NONE);
+        assertEquals(epoch + 1, store.epoch());
+    }
+
+    @Test
+    void sameBytesLieOnceAndStayWhileAnyoneNamesThem() throws IOException {
+        FileForm first = keep(store, "a", "same");
+        FileForm second = keep(store, "b", "same");
+        assertEquals(first.getDigest(), second.getDigest());
+        store.delete(first);
+        assertEquals("same", read(store, second));
+        store.delete(second);
+        assertFalse(Files.exists(store.blob(second.getDigest())));
+        assertEquals(List.of(), store.verify());
+    }
+
+    @Test
+    void damageIsFoundAndStrangersGoByRepair() throws IOException {
+        FileForm file = keep(store, "a", "good bytes");
+        FileForm lost = keep(store, "a", "other");
+        Files.writeString(store.blob(file.getDigest()), "bad bytes!");
+        Files.delete(store.blob(lost.getDigest()));
+        Path stranger = store.blobFolder().resolve("ff").resolve("f".repeat(64));
+        Files.createDirectories(stranger.getParent());
+        Files.writeString(stranger, "?");
+        List<String> faults = store.verify();
+        assertEquals(3, faults.size(), faults.toString());
+        assertEquals(1, store.repair().size());
+        assertFalse(Files.exists(stranger));
+        assertEquals(2, store.verify().size());
+    }
+
+    @Test
+    void snapshotIsWholeAndApart() throws IOException {
+        FileForm file = keep(store, "a", "before");
+        BatchForm batch = store.begin(BatchForm.newBuilder().setTenant("a").setInput(file.getId()));
+        store.snapshot(folder.resolve("copy"));
+        FileForm later = keep(store, "a", "after");
+        try (Store copy = Store.open(folder.resolve("copy"), Points.NONE)) {
+            assertEquals("before", read(copy, copy.file(file.getId())));
+            assertEquals(batch, copy.batch(batch.getId()));
+            assertNull(copy.file(later.getId()));
+            assertEquals(List.of(), copy.verify());
+            keep(copy, "a", "only there");
+        }
+        assertEquals(2, store.filesOf("a"));
+    }
+
+    @Test
+    void pagesGoFromTheNewestAndPastEachOther() throws IOException {
+        List<String> ids = new ArrayList<>();
+        for (int i = 0; i < 7; i++) {
+            ids.add(0, keep(store, "a", "t" + i).getId());
+            keep(store, "ab", "u" + i);
+        }
+        assertEquals(ids.subList(0, 3), store.page("a", 'f', -1, 3));
+        assertEquals(ids.subList(3, 7), store.page("a", 'f', store.file(ids.get(2)).getNumber(), 9));
+    }
+
+    // ------------------------------------------------------------------ against a simple model
+
+    /** What a store should hold, as plain maps. */
+    private static final class Model {
+        final Map<String, String> files = new TreeMap<>();
+        final Map<String, String> inputs = new TreeMap<>();
+        final Map<String, Map<Long, String>> answers = new TreeMap<>();
+    }
+
+    /**
+     * Any row of steps, with ends of the process at any write among them, leaves the store as a simple model says: a step that
+     * came to its end is there, one that did not is there wholly or not at all.
+     */
+    @Property(tries = 60, shrinking = ShrinkingMode.BOUNDED)
+    void isAsTheModelSays(@ForAll @Size(max = 40) List<@IntRange(min = 0, max = 9) Integer> steps, @ForAll long seed)
+            throws IOException {
+        Path own = Files.createTempDirectory("larchridge-model");
+        Random random = new Random(seed);
+        int[] left = {-1};
+        Points points = name -> {
+            if (left[0] > 0 && --left[0] == 0) {
+                throw new Halt();
+            }
+        };
+        Model model = new Model();
+        Store now = Store.open(own, points);
+        try {
+            for (int step : steps) {
+                // Now and then the process ends in the middle of what it does.
+                left[0] = random.nextInt(4) == 0 ? 1 + random.nextInt(6) : -1;
+                try {
+                    step(now, model, step, random);
+                } catch (Halt e) {
+                    now.close();
+                    left[0] = -1;
+                    now = Store.open(own, points);
+                    adopt(now, model);
+                }
+                left[0] = -1;
+                compare(now, model);
+            }
+            assertEquals(List.of(), now.verify());
+        } finally {
+            now.close();
+            remove(own);
+        }
+    }
+
+    private static void step(Store store, Model model, int step, Random random) throws IOException {
+        List<String> files = List.copyOf(model.files.keySet());
+        List<String> batches = List.copyOf(model.inputs.keySet());
+        if (step < 4 || files.isEmpty()) {
+            String text = "text " + random.nextInt(5);
+            model.files.put(keep(store, "t", text).getId(), text);
+        } else if (step == 4) {
+            String id = files.get(random.nextInt(files.size()));
+            assertEquals(!model.inputs.containsValue(id), store.delete(store.file(id)));
+            if (!model.inputs.containsValue(id)) {
+                model.files.remove(id);
+            }
+        } else if (step == 5 || batches.isEmpty()) {
+            String input = files.get(random.nextInt(files.size()));
+            String id = store.begin(BatchForm.newBuilder().setTenant("t").setInput(input)).getId();
+            model.inputs.put(id, input);
+            model.answers.put(id, new TreeMap<>());
+        } else if (step < 9) {
+            String id = batches.get(random.nextInt(batches.size()));
+            long line = random.nextInt(6);
+            boolean isNew = !model.answers.get(id).containsKey(line);
+            AnswerForm answer = AnswerForm.newBuilder().setGood(true).setText("answer " + line).build();
+            store.flight(id, line, 1, random.nextBoolean());
+            BatchForm batch = store.batch(id);
+            store.answered(List.of(new Store.Answer(id, line, answer)), List.of(isNew
+                    ? batch.toBuilder().setDone(batch.getDone() + 1).build() : batch));
+            model.answers.get(id).put(line, answer.getText());
+        } else {
+            String id = batches.get(random.nextInt(batches.size()));
+            Incoming output = store.receive();
+            output.write("out".getBytes(StandardCharsets.UTF_8), 0, 3);
+            BatchForm done = store.finish(store.batch(id).toBuilder().setState(StateForm.COMPLETED)
+                    .setTotal(store.batch(id).getDone()), output.synced(), null, 1);
+            model.files.put(done.getOutput(), "out");
+            model.inputs.remove(id);
+            model.answers.remove(id);
+        }
+    }
+
+    /** After an end in the middle of a step the model takes what is there, as long as that is one step more or none. */
+    private static void adopt(Store store, Model model) throws IOException {
+        List<String> ids = store.page("t", 'f', -1, 1000);
+        int before = model.files.size();
+        for (String id : ids) {
+            model.files.putIfAbsent(id, read(store, store.file(id)));
+        }
+        model.files.keySet().retainAll(ids);
+        assertTrue(Math.abs(model.files.size() - before) <= 1, "a step did more than one thing");
+        model.inputs.clear();
+        for (BatchForm batch : store.active()) {
+            model.inputs.put(batch.getId(), batch.getInput());
+            Map<Long, String> answers = model.answers.computeIfAbsent(batch.getId(), id -> new TreeMap<>());
+            for (long line = 0; line < 6; line++) {
+                AnswerForm answer = store.answer(batch.getId(), line);
+                assertTrue(answer != null || !answers.containsKey(line), "an answer was lost");
+                if (answer != null) {
+                    answers.put(line, answer.getText());
+                }
+            }
+        }
+        model.answers.keySet().retainAll(model.inputs.keySet());
+    }
+
+    private static void compare(Store store, Model model) throws IOException {
+        List<String> ids = store.page("t", 'f', -1, 1000);
+        assertEquals(List.copyOf(model.files.keySet()), ids.stream().sorted().toList());
+        for (Map.Entry<String, String> file : model.files.entrySet()) {
+            assertEquals(file.getValue(), read(store, store.file(file.getKey())));
+        }
+        assertEquals(List.copyOf(model.inputs.keySet()), store.active().stream().map(BatchForm::getId).sorted().toList());
+        for (String id : model.inputs.keySet()) {
+            assertEquals(model.answers.get(id).size(), store.batch(id).getDone());
+            assertTrue(store.isRead(model.inputs.get(id)));
+        }
+    }
+}
