Drills with batches; one line read again no longer moves the place of the others

Cause: lines that are sent are read again from the input's channel, and that moved the channel's position under the reader of the rest: of an input over 64 kB what came after the first lines was taken for damaged.

--- a/src/main/java/larchridge/batch/Lines.java
+++ b/src/main/java/larchridge/batch/Lines.java
@@ -18,17 +18,19 @@
     private final ByteBuffer buffer = ByteBuffer.allocate(STEP);
     private long number;
     private long offset;
+    /** How far the buffer has been filled. */
+    private long filled;
     private byte[] held = new byte[STEP];
 
     /** A line: its number in the file from 0, where it begins and the next does, and its bytes, null if they are too many. */
     record Line(long number, long offset, long next, byte[] bytes) { }
 
-    Lines(FileChannel file, int mostBytes, long number, long offset) throws IOException {
+    Lines(FileChannel file, int mostBytes, long number, long offset) {
         this.file = file;
         this.mostBytes = mostBytes;
         this.number = number;
         this.offset = offset;
-        file.position(offset);
+        filled = offset;
         buffer.limit(0);
     }
 
@@ -77,7 +79,9 @@
 
     private boolean fill() throws IOException {
         buffer.clear();
-        int got = file.read(buffer);
+        // Danger: the channel's own position is shared by all who read it; one line read again would move the others.
+        int got = file.read(buffer, filled);
+        filled += Math.max(0, got);
         buffer.flip();
         return got > 0;
     }
--- a/src/main/java/larchridge/cli/DrillCommand.java
+++ b/src/main/java/larchridge/cli/DrillCommand.java
@@ -26,6 +26,8 @@
     private Long seed;
     @Option(names = "--log", paramLabel = "FILE", description = "write the traffic log there, as JSON lines")
     private Path log;
+    @Option(names = "--no-batches", description = "leave the script's batches out, to compare")
+    private boolean noBatches;
     @Option(names = "--figures", description = "print the fronts' own figures at the end")
     private boolean figures;
     @Option(names = "--scale", defaultValue = "1", description = "of a bench day's load and engines' speed "
@@ -57,6 +59,9 @@
         if (seed != null) {
             script = script.withSeed(seed);
         }
+        if (noBatches) {
+            script = script.withoutBatches();
+        }
         System.out.println("seed " + script.seed() + ", " + script.fronts() + " fronts, engines are simulated");
         Drill.Result result = Drill.play(script);
         System.out.print(Tally.table(result.rows()));
--- a/src/main/java/larchridge/drill/DayFile.java
+++ b/src/main/java/larchridge/drill/DayFile.java
@@ -100,7 +100,7 @@
                 day.path("length").asDouble() / 1000, rate, day.path("discovery").path("notice").asDouble(300_000)
                 / 1000, day.path("allow").path("probes").asBoolean(false), false, null, false,
                 List.of(new Script.Tenant("drill", 1, 0, 0)), engines, mixes,
-                new Script.Clients(clients.path("retries").asInt(0), clients.path("backoff_us").asDouble(100_000)
+                List.of(), new Script.Clients(clients.path("retries").asInt(0), clients.path("backoff_us").asDouble(100_000)
                         / 1000, 0.01, 0.01, 0.1), troubles);
         return new DayFile(script, leftOut);
     }
--- a/src/main/java/larchridge/drill/Drill.java
+++ b/src/main/java/larchridge/drill/Drill.java
@@ -49,6 +49,11 @@
 
         String figures();
 
+        /** The port of the batch API, where it is served. */
+        default int batchPort() {
+            return -1;
+        }
+
         void stop() throws InterruptedException;
 
         /** Starts fronts for a site. */
@@ -73,6 +78,8 @@
     private Processes processes;
     private Path list;
     private Load load;
+    /** Null where the script has no batches. */
+    private BatchLoad batchLoad;
     private Vertx vertx;
 
     private Drill(Script script, Fronts.Maker maker) {
@@ -103,6 +110,11 @@
                 return service.figures().scrape();
             }
 
+            @Override
+            public int batchPort() {
+                return service.batchPort();
+            }
+
             @Override
             public void stop() throws InterruptedException {
                 service.stop();
@@ -139,9 +151,16 @@
                 }
                 load.start(done::countDown);
             });
+            if (!script.batches().isEmpty()) {
+                batchLoad = new BatchLoad(script, fronts.batchPort(), log);
+                batchLoad.start();
+            }
             if (!done.await((long) script.durationMs() + LAST_ANSWERS_MS, TimeUnit.MILLISECONDS)) {
                 log.add(Seen.Kind.TROUBLE, 0, null, null, 0, "clients still open after the run");
             }
+            if (batchLoad != null) {
+                batchLoad.join(LAST_ANSWERS_MS);
+            }
             Thread.sleep(TAIL_MS);
             String figures = fronts.figures();
             List<Seen> all = log.all();
@@ -213,6 +232,9 @@
         text.append(String.format(Locale.ROOT, " drain_grace_ms: %f release_ms: %f cold_share: %f cold_ms: %f"
                 + " tip_multiple: %f tip_ms: %f }%n", DRAIN_GRACE_MS, RELEASE_MS, COLD_SHARE, COLD_MS, TIP_MULTIPLE,
                 TIP_MS));
+        if (!script.batches().isEmpty()) {
+            text.append("batch { listen { host: \"127.0.0.1\" port: 0 } folder: \"store\" line_ms: 8000 }\n");
+        }
         for (Script.Tenant tenant : script.tenants()) {
             text.append(String.format(Locale.ROOT, "tenant { name: \"%s\" key_sha256: \"%s\"", tenant.name(),
                     Site.sha256(tenant.name())));
--- a/src/main/java/larchridge/drill/Rules.java
+++ b/src/main/java/larchridge/drill/Rules.java
@@ -73,6 +73,10 @@
                     case MALFORMED -> breaches.add(new Breach(1, entry.getKey(), "not in the API's words: "
                             + seen.word()));
                     case FINAL -> {
+                        if (asked == null) {
+                            breaches.add(new Breach(1, entry.getKey(), "an answer to nothing that was asked"));
+                            break;
+                        }
                         if (last != null) {
                             breaches.add(new Breach(1, entry.getKey(), "a second final answer, " + seen.word()));
                         }
--- a/src/main/java/larchridge/drill/Script.java
+++ b/src/main/java/larchridge/drill/Script.java
@@ -21,6 +21,7 @@
         @JsonProperty("tenants") List<Tenant> tenants,
         @JsonProperty("engines") List<Group> engines,
         @JsonProperty("products") List<Mix> products,
+        @JsonProperty("batches") List<Batch> batches,
         @JsonProperty("clients") Clients clients,
         @JsonProperty("troubles") List<Trouble> troubles) {
 
@@ -37,7 +38,13 @@
     /** The same script with another seed. */
     public Script withSeed(long other) {
         return new Script(other, fronts, durationMs, ratePerS, listLagMs, probes, processes, encoding, counted, tenants, engines,
-                products, clients, troubles);
+                products, batches, clients, troubles);
+    }
+
+    /** The same script without its batches. */
+    public Script withoutBatches() {
+        return new Script(seed, fronts, durationMs, ratePerS, listLagMs, probes, processes, encoding, counted, tenants, engines,
+                products, List.of(), clients, troubles);
     }
 
     /** A product's part of the load. */
@@ -49,6 +56,11 @@
                       @JsonProperty("prefixes") int prefixes, @JsonProperty("output_tokens") int outToks,
                       @JsonProperty("turns") double turns, @JsonProperty("text") String text) { }
 
+    /** A batch of one of the products; what is not done when the drill's time is over is cancelled then. */
+    public record Batch(@JsonProperty("at_ms") double atMs, @JsonProperty("lines") int lines,
+                        @JsonProperty("product") String product, @JsonProperty("prompt_tokens") int promptToks,
+                        @JsonProperty("output_tokens") int outToks) { }
+
     /** What clients do: shares of all tries. */
     public record Clients(@JsonProperty("retries") int retries, @JsonProperty("retry_ms") double retryMs,
                           @JsonProperty("leave_share") double leaveShare,
--- a/src/main/java/larchridge/drill/ScriptReader.java
+++ b/src/main/java/larchridge/drill/ScriptReader.java
@@ -97,10 +97,19 @@
             tenants.add(new Script.Tenant(tenant.name(), or(tenant.share(), 1), tenant.toksPerS(),
                     or(tenant.burstToks(), tenant.toksPerS() * 5)));
         }
+        List<Script.Batch> batches = new ArrayList<>();
+        for (Script.Batch batch : raw.batches() == null ? List.<Script.Batch>of() : raw.batches()) {
+            if (mixes.stream().noneMatch(mix -> mix.name().equals(batch.product()))) {
+                throw new BadScript(file + ": batches[" + batches.size() + "].product: '" + batch.product()
+                        + "' is no product of this script");
+            }
+            batches.add(new Script.Batch(batch.atMs(), Math.max(1, batch.lines()), batch.product(),
+                    (int) or(batch.promptToks(), 200), (int) or(batch.outToks(), 12)));
+        }
         Script.Clients clients = raw.clients() == null ? new Script.Clients(0, 100, 0, 0, 0) : raw.clients();
         return new Script(raw.seed(), Math.max(1, raw.fronts()), or(raw.durationMs(), 10_000),
                 or(raw.ratePerS(), 20), or(raw.listLagMs(), 300), raw.probes(), raw.processes(),
-                raw.encoding(), raw.counted(), tenants, groups, mixes, clients, troubles);
+                raw.encoding(), raw.counted(), tenants, groups, mixes, batches, clients, troubles);
     }
 
     private static double or(double value, double otherwise) {
--- a/src/main/java/larchridge/drill/Tally.java
+++ b/src/main/java/larchridge/drill/Tally.java
@@ -90,8 +90,15 @@
                 continue;
             }
             Script.Mix mix = mixes.get(one.asked.word());
-            count(all, one, mix);
+            // Lines of batches have no SLO time; their product's row tells what became of them.
+            boolean isLine = one.asked.tag().startsWith(BatchLoad.NAME);
+            if (!isLine) {
+                count(all, one, mix);
+            }
             count(byProduct.get(mix.name()), one, mix);
+            if (isLine) {
+                continue;
+            }
             if (byTenant.containsKey(one.asked.rid())) {
                 count(byTenant.get(one.asked.rid()), one, mix);
             }
--- a/src/test/java/larchridge/batch/BatchesTest.java
+++ b/src/test/java/larchridge/batch/BatchesTest.java
@@ -43,6 +43,20 @@
         }
     }
 
+    /** Danger: a line that is read again to be sent would move the place at which the rest of a large input is read. */
+    @Test
+    void inputLargerThanAnyBufferIsReadWhole() throws Exception {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < 300; i++) {
+            text.append(BatchStage.line("c" + i, "free", "ok " + "y".repeat(1500))).append('\n');
+        }
+        try (BatchStage stage = new BatchStage()) {
+            BatchForm batch = stage.make(stage.upload(text.toString()), HOUR);
+            stage.loop.run(120_000);
+            assertEquals(300, stage.records(stage.batches.batch(batch.getId()).getOutput()).size());
+        }
+    }
+
     @Test
     void brokenLinesFailTheBatchBeforeAnythingRuns() throws Exception {
         String good = BatchStage.line("a", "free", "ok");
