Engines emulated inside, and drills in virtual time with the real front and module

Need: the stand-ins show behaviour on sockets; routing choices need an engine that behaves inside like the real thing, and drills that run the same way twice.

Change: package emulator models an engine without clock or sockets: continuous batching with chunks of prompts, memory in blocks with kept beginnings, preemption of the newest, held states, shared links. A new trouble, stall: an engine that stands still only above some number of answers. The gap of batch work looks at two seconds at a time: one was noise.

--- a/src/main/java/larchridge/cli/DrillCommand.java
+++ b/src/main/java/larchridge/cli/DrillCommand.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Locale;
 import java.util.concurrent.Callable;
 import larchridge.drill.Bills;
 import larchridge.drill.DayFile;
@@ -11,6 +12,7 @@
 import larchridge.drill.ScriptReader;
 import larchridge.drill.Tally;
 import larchridge.drill.TrafficLog;
+import larchridge.virtual.Day;
 import picocli.CommandLine.ArgGroup;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -26,6 +28,8 @@
     private Long seed;
     @Option(names = "--log", paramLabel = "FILE", description = "write the traffic log there, as JSON lines")
     private Path log;
+    @Option(names = "--virtual", description = "in virtual time over emulated engines: one seed, one run, to the byte")
+    private boolean virtual;
     @Option(names = "--no-batches", description = "leave the script's batches out, to compare")
     private boolean noBatches;
     @Option(names = "--figures", description = "print the fronts' own figures at the end")
@@ -34,6 +38,19 @@
             + "(default: ${DEFAULT-VALUE})")
     private double scale;
 
+    private int playVirtually(Script script) throws IOException {
+        Day.Result result = Day.play(script);
+        System.out.print(Tally.table(result.rows()));
+        if (log != null) {
+            TrafficLog.write(result.log(), log);
+        }
+        result.breaches().forEach(System.out::println);
+        System.out.printf(Locale.ROOT, "%d broken rules in %d sights, digest %s, %d steps, %.0f virtual seconds a second%n",
+                result.breaches().size(), result.log().size(), result.digest(), result.steps(),
+                result.virtualMs() / result.realMs());
+        return result.breaches().isEmpty() ? 0 : 3;
+    }
+
     private static final class Source {
         @Option(names = "--script", paramLabel = "FILE", description = "drill script, YAML")
         private Path script;
@@ -63,6 +80,9 @@
             script = script.withoutBatches();
         }
         System.out.println("seed " + script.seed() + ", " + script.fronts() + " fronts, engines are simulated");
+        if (virtual) {
+            return playVirtually(script);
+        }
         Drill.Result result = Drill.play(script);
         System.out.print(Tally.table(result.rows()));
         if (figures) {
--- a/src/main/java/larchridge/drill/ScriptReader.java
+++ b/src/main/java/larchridge/drill/ScriptReader.java
@@ -14,7 +14,7 @@
 /** Reads a drill script in YAML; a fault names file, line and field. */
 public final class ScriptReader {
     static final Set<String> KINDS = Set.of("crash", "pause", "slow", "lost", "full", "faulty", "broken", "torn",
-            "garbled", "flush", "forgetful", "lag", "drain", "remove", "bad_list", "burst", "kill_front");
+            "garbled", "stall", "flush", "forgetful", "lag", "drain", "remove", "bad_list", "burst", "kill_front");
     private static final ObjectMapper MAPPER = new ObjectMapper(new YAMLFactory())
             .disable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
 
--- a/src/main/java/larchridge/planner/Gap.java
+++ b/src/main/java/larchridge/planner/Gap.java
@@ -27,12 +27,12 @@
     private static final double SOON_MS = 10_000;
     /** First tokens may come so much later, as a factor and as a share of the SLO time, before that is trouble. */
     private static final double LATER_FACTOR = 1.25;
-    private static final double LATER_SHARE = 0.05;
-    private static final double WAIT_SHARE = 0.1;
+    private static final double LATER_SHARE = 0.1;
+    private static final double WAIT_SHARE = 0.25;
     private static final double HIGH = 0.9;
     private static final int LEAST_SEEN = 8;
-    private static final int WINDOW_MS = 1000;
-    private static final int USUAL_SPANS = 30;
+    private static final int WINDOW_MS = 2000;
+    private static final int USUAL_SPANS = 150;
 
     private final double most;
     private double limit = FIRST;
--- a/src/main/java/larchridge/standin/Mood.java
+++ b/src/main/java/larchridge/standin/Mood.java
@@ -5,6 +5,8 @@
     /** Stands still until then: no work, no answers, also to probes; connections stay. */
     public double pausedUntilMs;
     public double slowness = 1;
+    /** With more answers side by side than this it all but stands still; probes are answered. */
+    public int stallsAbove = Integer.MAX_VALUE;
     /** Of answers, done but never sent; probes are answered. */
     public double lostShare;
     /** Every leg is turned away as full. */
@@ -25,6 +27,7 @@
     public void clear() {
         pausedUntilMs = 0;
         slowness = 1;
+        stallsAbove = Integer.MAX_VALUE;
         lostShare = 0;
         full = false;
         faulty = false;
--- a/src/main/java/larchridge/standin/StandIn.java
+++ b/src/main/java/larchridge/standin/StandIn.java
@@ -57,6 +57,9 @@
     private HttpServer server;
     private int port;
     private boolean up;
+    /** So many times as slow is one that stalls. */
+    private static final double STALL = 20;
+
     private double startedMs;
     private double lastMs;
     private long stepTimer = -1;
@@ -386,7 +389,8 @@
         if (elapsed <= 0) {
             return;
         }
-        double worth = elapsed * capacity() / mood.slowness;
+        boolean stalls = running.size() + reading.size() > mood.stallsAbove;
+        double worth = elapsed * capacity() / mood.slowness / (stalls ? STALL : 1);
         read(worth);
         admit();
         for (Job job : List.copyOf(running)) {
--- /dev/null
+++ b/src/main/java/larchridge/virtual/Day.java
@@ -0,0 +1,442 @@
+package larchridge.virtual;
+
+import io.micrometer.core.instrument.composite.CompositeMeterRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import larchridge.budget.Answer;
+import larchridge.drill.Drill;
+import larchridge.drill.Rules;
+import larchridge.drill.Script;
+import larchridge.drill.Seen;
+import larchridge.drill.Tally;
+import larchridge.emulator.EngineModel;
+import larchridge.emulator.Prompt;
+import larchridge.enginelink.Ending;
+import larchridge.enginelink.Order;
+import larchridge.front.Ask;
+import larchridge.front.Client;
+import larchridge.front.Decider;
+import larchridge.front.Front;
+import larchridge.front.Open;
+import larchridge.metrics.Meters;
+import larchridge.site.BadSite;
+import larchridge.site.Site;
+import larchridge.site.SiteReader;
+
+/**
+ * Plays a drill script in virtual time: real fronts with their module over emulated engines, one seed one run, to the byte. The
+ * rules are judged and service is counted from what both ends saw, as on sockets. Not played here: batches, processes that are
+ * killed, and troubles of the wire itself (torn, garbled, lag, bad_list).
+ */
+public final class Day {
+    private static final double TAIL_MS = 15_000;
+    private static final double WAY_MS = 0.3;
+    private static final int MOST_SESSIONS = 500;
+    private static final double KEEP_TALK_MS = 30_000;
+    private static final int STALL = 20;
+
+    /** What a run gave; digest is of all that was seen. */
+    public record Result(List<Seen> log, List<Rules.Breach> breaches, List<Tally.Row> rows, List<EngineModel.Sums> sums,
+                         String digest, long steps, double virtualMs, double realMs) {
+        public Tally.Row all() {
+            return rows.get(0);
+        }
+    }
+
+    private final Script script;
+    private final World world = new World();
+    private final Log log = new Log(world);
+    private final Town town;
+    private final Site site;
+    private final List<Front> fronts = new ArrayList<>();
+    private final Random random;
+    private final List<Session> sessions = new ArrayList<>();
+    private double rate = 1;
+    private long operations;
+    private long texts;
+
+    private static final class Session {
+        final Script.Mix mix;
+        final String tenant;
+        final int prefix;
+        final List<Long> texts = new ArrayList<>();
+        final List<Integer> lengths = new ArrayList<>();
+        String last;
+        final String opening;
+        int left;
+
+        Session(Script.Mix mix, String tenant, int prefix, int turns, String opening) {
+            this.mix = mix;
+            this.tenant = tenant;
+            this.prefix = prefix;
+            this.opening = opening;
+            left = turns;
+        }
+    }
+
+    private Day(Script script, Decider.Maker module) {
+        this.script = script;
+        random = new Random(script.seed());
+        town = new Town(world, log, Drill.makes(script), script.seed());
+        try {
+            site = SiteReader.read("drill", "listen { host: \"127.0.0.1\" port: 0 }\nseed: " + Math.max(1, script.seed())
+                    + "\nfronts: 1\nfronts_of_service: " + script.fronts() + "\n" + Drill.site(script.withoutBatches()), null);
+        } catch (BadSite e) {
+            throw new IllegalStateException("the drill's own site is not good: " + e.getMessage(), e);
+        }
+        String zone = script.engines().get(0).zones().get(0);
+        for (int i = 0; i < script.fronts(); i++) {
+            // Figures of so many fronts are nobody's; what was seen is the witness.
+            fronts.add(new Front(world.ground(i, script.seed()), site, i, town.link(zone), new Meters(
+                    new CompositeMeterRegistry()), module));
+        }
+    }
+
+    /** Plays a script with the module of this program. */
+    public static Result play(Script script) {
+        return play(script, Decider::choice);
+    }
+
+    /** Plays a script with fronts that decide otherwise. */
+    public static Result play(Script script, Decider.Maker module) {
+        return new Day(script, module).run();
+    }
+
+    private Result run() {
+        long start = System.nanoTime();
+        tell();
+        for (Script.Trouble trouble : script.troubles()) {
+            world.in(trouble.atMs(), () -> begin(trouble));
+        }
+        next();
+        double end = script.durationMs() + TAIL_MS;
+        world.run(end);
+        double realMs = (System.nanoTime() - start) / 1e6;
+        List<Seen> all = log.all();
+        return new Result(all, Rules.judge(all, Drill.figures(script)), Tally.of(all, script), town.sums(), log.digest(),
+                world.ran(), end, realMs);
+    }
+
+    private void tell() {
+        fronts.forEach(front -> front.listed(town.rows()));
+    }
+
+    // ------------------------------------------------------------------ load
+
+    private void next() {
+        if (world.sinceMs() >= script.durationMs()) {
+            return;
+        }
+        world.in(-Math.log(1 - random.nextDouble()) * 1000 / (script.ratePerS() * rate), () -> {
+            if (world.sinceMs() < script.durationMs()) {
+                operation();
+                next();
+            }
+        });
+    }
+
+    private void operation() {
+        Session session = session();
+        String name = "op" + ++operations;
+        boolean whole = random.nextDouble() < script.clients().wholeShare();
+        int out = 1 + (int) (session.mix.outToks() * (0.5 + random.nextDouble()));
+        int toks = Math.max(1, session.mix.promptToks() / 2 + random.nextInt(session.mix.promptToks() + 1));
+        new Try(session, name, 0, ++texts, toks, whole, out, random.nextInt(fronts.size())).ask();
+    }
+
+    private Session session() {
+        double draw = random.nextDouble() * script.products().stream().mapToDouble(Script.Mix::share).sum();
+        Script.Mix mix = script.products().get(0);
+        for (Script.Mix one : script.products()) {
+            mix = one;
+            draw -= one.share();
+            if (draw <= 0) {
+                break;
+            }
+        }
+        Script.Tenant tenant = script.tenants().get(0);
+        double whose = random.nextDouble() * script.tenants().stream().mapToDouble(Script.Tenant::share).sum();
+        for (Script.Tenant one : script.tenants()) {
+            tenant = one;
+            whose -= one.share();
+            if (whose <= 0) {
+                break;
+            }
+        }
+        if (random.nextDouble() < 1 - 1 / mix.turns()) {
+            for (int i = 0; i < sessions.size(); i++) {
+                Session one = sessions.get(i);
+                if (one.mix == mix && one.tenant.equals(tenant.name())) {
+                    return sessions.remove(i);
+                }
+            }
+        }
+        int turns = (int) Math.max(1, Math.round(mix.turns() * (0.5 + random.nextDouble())));
+        return new Session(mix, tenant.name(), random.nextInt(mix.prefixes()), turns, "s" + operations);
+    }
+
+    /** One try of one operation: the client's side of it. */
+    private final class Try implements Client {
+        private final Session session;
+        private final String operation;
+        private final int number;
+        private final long text;
+        private final int toks;
+        private final boolean whole;
+        private final int out;
+        private final int front;
+        private final String tag;
+        private Open open;
+        private boolean begun;
+        private boolean finished;
+        private boolean left;
+        private int got;
+
+        Try(Session session, String operation, int number, long text, int toks, boolean whole, int out, int front) {
+            this.session = session;
+            this.operation = operation;
+            this.number = number;
+            this.text = text;
+            this.toks = toks;
+            this.whole = whole;
+            this.out = out;
+            this.front = front;
+            tag = operation + "#" + number;
+        }
+
+        void ask() {
+            Script.Mix mix = session.mix;
+            log.add(Seen.Kind.ASKED, front, session.tenant, tag, mix.limitMs(), mix.name());
+            world.in(WAY_MS, this::arrive);
+            if (random.nextDouble() < script.clients().leaveShare()) {
+                world.in(1 + random.nextInt((int) mix.limitMs()), this::leave);
+            }
+        }
+
+        private void arrive() {
+            Front at = fronts.get(front);
+            if (!at.enter()) {
+                answer("throttled");
+                return;
+            }
+            Script.Mix mix = session.mix;
+            int shared = mix.sharedToks();
+            List<Long> of = new ArrayList<>();
+            List<Integer> lengths = new ArrayList<>();
+            if (shared > 0) {
+                of.add((long) mix.name().hashCode() * 1000 + session.prefix);
+                lengths.add(shared);
+            }
+            of.addAll(session.texts);
+            lengths.addAll(session.lengths);
+            of.add(1L << 40 | text);
+            lengths.add(toks);
+            Prompt prompt = Prompt.of(of.stream().mapToLong(Long::longValue).toArray(),
+                    lengths.stream().mapToInt(Integer::intValue).toArray(), Town.blockToks());
+            String body = tag;
+            town.talk(body, new Town.Talk(prompt, out, tag));
+            world.in(KEEP_TALK_MS, () -> town.forget(body));
+            Ask ask = new Ask(site.offersByModel.get(mix.name()), site.tenantNamed(session.tenant), mix.name(), body,
+                    prompt.toks, shared, 2 * mix.outToks() + 2, List.of(), new Order.Sampling(null, null, null),
+                    shared > 0 ? mix.name() + session.prefix : null, session.opening, session.last,
+                    session.opening + "/" + text, whole, number > 0, mix.limitMs() + (whole ? (2 * mix.outToks() + 2) * 60 : 0),
+                    operation, 0, ignored -> { });
+            at.take(ask, this, taken -> open = taken);
+            if (left && open != null) {
+                open.gone();
+            }
+        }
+
+        private void leave() {
+            if (!finished && !left) {
+                left = true;
+                log.add(Seen.Kind.LEFT, front, session.tenant, tag, got, null);
+                world.in(WAY_MS, () -> {
+                    if (!finished && open != null) {
+                        finished = true;
+                        open.gone();
+                        fronts.get(front).leave();
+                    }
+                });
+            }
+        }
+
+        /** The final answer, as it comes to the client. */
+        private void end(String word, boolean mayRetry) {
+            if (finished) {
+                if (!left) {
+                    log.add(Seen.Kind.AFTER_FINAL, front, null, tag, 1, word);
+                }
+                return;
+            }
+            finished = true;
+            fronts.get(front).leave();
+            if (left) {
+                return;
+            }
+            world.in(WAY_MS, () -> {
+                if (whole && word.equals("streamed")) {
+                    log.add(Seen.Kind.BEGUN, front, null, tag, 0, null);
+                }
+                answer(word);
+                if (!word.equals("streamed") && mayRetry && number < script.clients().retries()) {
+                    world.in(Math.max(1, script.clients().retryMs() * (1 << number)), () -> new Try(session, operation,
+                            number + 1, text, toks, whole, out, random.nextInt(fronts.size())).ask());
+                }
+            });
+        }
+
+        private void answer(String word) {
+            log.add(Seen.Kind.FINAL, front, session.tenant, tag, got, word);
+            if (word.equals("streamed") && --session.left > 0 && sessions.size() < MOST_SESSIONS) {
+                session.texts.add(1L << 40 | text);
+                session.lengths.add(toks);
+                session.texts.add(1L << 41 | text);
+                session.lengths.add(Math.max(1, out));
+                session.last = session.opening + "/" + text;
+                sessions.add(session);
+            }
+        }
+
+        @Override
+        public void begun(int keptToks) {
+            // Told to clients with the first piece.
+            return;
+        }
+
+        @Override
+        public boolean piece(String text) {
+            if (left || finished) {
+                return false;
+            }
+            got++;
+            if (!begun) {
+                begun = true;
+                if (!whole) {
+                    world.in(WAY_MS, () -> log.add(Seen.Kind.BEGUN, front, null, tag, 0, null));
+                }
+            }
+            return true;
+        }
+
+        @Override
+        public int gathered() {
+            return 0;
+        }
+
+        @Override
+        public void soFar() {
+            return;
+        }
+
+        @Override
+        public boolean isGone() {
+            return left;
+        }
+
+        @Override
+        public void budget(Answer budget) {
+            return;
+        }
+
+        @Override
+        public void overBudget(Answer budget) {
+            end("throttled", true);
+        }
+
+        @Override
+        public void streamed(Ending ending) {
+            end("streamed", false);
+        }
+
+        @Override
+        public void throttled(double comeBackMs) {
+            end("throttled", true);
+        }
+
+        @Override
+        public void terminated(Cause cause, boolean mayRetry) {
+            end("terminated", mayRetry && !begun);
+        }
+
+        @Override
+        public void cut() {
+            end("terminated", false);
+        }
+    }
+
+    // ------------------------------------------------------------------ troubles
+
+    private void begin(Script.Trouble trouble) {
+        log.add(Seen.Kind.TROUBLE, 0, null, null, trouble.size(), trouble.kind());
+        switch (trouble.kind()) {
+            case "burst" -> {
+                rate = trouble.size();
+                world.in(trouble.forMs(), () -> rate = 1);
+            }
+            case "drain", "remove" -> {
+                boolean drains = trouble.kind().equals("drain");
+                for (long id : trouble.engines()) {
+                    town.seat(id).drains = drains;
+                    town.seat(id).listed = drains;
+                    log.add(Seen.Kind.LISTED, id, null, null, 0, drains ? "draining" : "gone");
+                }
+                tell();
+                world.in(trouble.forMs(), () -> {
+                    for (long id : trouble.engines()) {
+                        town.seat(id).drains = false;
+                        town.seat(id).listed = true;
+                        log.add(Seen.Kind.LISTED, id, null, null, 0, "ready");
+                    }
+                    tell();
+                });
+            }
+            case "crash" -> trouble.engines().forEach(id -> crash(trouble, town.seat(id)));
+            default -> {
+                for (long id : trouble.engines()) {
+                    Town.Seat seat = town.seat(id);
+                    ail(trouble, seat);
+                    world.in(trouble.forMs(), () -> {
+                        seat.clear();
+                        seat.kick();
+                    });
+                }
+            }
+        }
+    }
+
+    private void ail(Script.Trouble trouble, Town.Seat seat) {
+        switch (trouble.kind()) {
+            case "pause" -> seat.pausedUntilMs = world.nowMs() + trouble.forMs();
+            case "slow" -> seat.model.ails(trouble.size(), Integer.MAX_VALUE, 1);
+            case "stall" -> seat.model.ails(1, (int) trouble.size(), STALL);
+            case "lost" -> seat.lostShare = Math.min(1, trouble.size());
+            case "broken" -> seat.brokenShare = Math.min(1, trouble.size());
+            case "full" -> seat.full = true;
+            case "faulty" -> seat.faulty = true;
+            case "forgetful" -> seat.forgetful = true;
+            case "flush" -> seat.model.flush();
+            default -> { }
+        }
+    }
+
+    private void crash(Script.Trouble trouble, Town.Seat seat) {
+        seat.crash();
+        world.in(script.listLagMs(), () -> {
+            seat.listed = false;
+            log.add(Seen.Kind.LISTED, seat.make.id(), null, null, 0, "gone");
+            tell();
+        });
+        world.in(Math.max(script.listLagMs() + 200, trouble.forMs()), () -> {
+            seat.start(true);
+            seat.clear();
+            world.in(50, () -> {
+                seat.listed = true;
+                seat.listedStartMs = seat.startedMs;
+                log.add(Seen.Kind.LISTED, seat.make.id(), null, null, 0, "ready");
+                tell();
+            });
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/virtual/Town.java
@@ -0,0 +1,536 @@
+package larchridge.virtual;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import larchridge.emulator.EngineModel;
+import larchridge.emulator.Job;
+import larchridge.emulator.Links;
+import larchridge.emulator.Prompt;
+import larchridge.emulator.Silicon;
+import larchridge.drill.Seen;
+import larchridge.enginelink.EngineLink;
+import larchridge.enginelink.Ending;
+import larchridge.enginelink.Hearing;
+import larchridge.enginelink.Order;
+import larchridge.enginelink.Spot;
+import larchridge.enginelink.StateHandle;
+import larchridge.inventory.Row;
+import larchridge.standin.Make;
+import larchridge.state.Mode;
+import larchridge.state.Outcome;
+import larchridge.state.Report;
+import larchridge.state.Role;
+
+/** The emulated engines in virtual time, the links between them, and the way to them from fronts. */
+final class Town {
+    /** One way between a front and an engine, in its zone and out of it. */
+    private static final double NEAR_MS = 0.3;
+    private static final double FAR_MS = 1.2;
+    /** A rack's link to the others carries so many times what one engine sends, a zone's to another so many. */
+    private static final double RACK_LINK = 3;
+    private static final double ZONE_LINK = 2;
+    private static final int BLOCK_TOKS = 32;
+    private static final double LAPSE_LOOK_MS = 500;
+
+    final World world;
+    final Log log;
+    private final Random random;
+    private final Map<Long, Seat> seats = new TreeMap<>();
+    private final Links links = new Links();
+    private long linkWake = -1;
+    private double linkWakeMs;
+    private final Map<String, Talk> talks = new HashMap<>();
+
+    /** What a prompt's text stands for here. */
+    record Talk(Prompt prompt, int length, String tag) { }
+
+    /** Names a state: where it waits and under which name. */
+    private record Waiting(long engine, String rid) implements StateHandle { }
+
+    Town(World world, Log log, List<Make> makes, long seed) {
+        this.world = world;
+        this.log = log;
+        random = new Random(seed ^ 0x70EFL);
+        for (Make make : makes) {
+            Seat seat = new Seat(make);
+            seats.put(make.id(), seat);
+            seat.start(false);
+        }
+    }
+
+    /** An engine of a script's make: its speed and room, in the form of the emulator. */
+    static Silicon silicon(Make make) {
+        boolean reads = make.role() == Role.READER;
+        int batch = (int) Math.max(256, make.readToksPerMs() * 12);
+        return new Silicon(reads ? 0.5 : 0.6 * make.tokMs(), 1 / make.readToksPerMs(), 0.4 * make.tokMs() / make.streams(), 0,
+                0, BLOCK_TOKS, (int) (make.memoryToks() / BLOCK_TOKS), batch, reads ? make.readsAtOnce() : make.streams(),
+                make.queue() + make.readsAtOnce(), make.lapseMs(), make.coldShare(), make.coldMs(), false);
+    }
+
+    void talk(String text, Talk talk) {
+        talks.put(text, talk);
+    }
+
+    void forget(String text) {
+        talks.remove(text);
+    }
+
+    static int blockToks() {
+        return BLOCK_TOKS;
+    }
+
+    Seat seat(long id) {
+        return seats.get(id);
+    }
+
+    /** The list as it is now. */
+    List<Row> rows() {
+        List<Row> rows = new ArrayList<>();
+        for (Seat seat : seats.values()) {
+            if (seat.listed) {
+                Make make = seat.make;
+                rows.add(new Row(make.id(), "e", (int) make.id(), make.role(), make.zone(), make.rack(), 1,
+                        make.memoryToks(), seat.listedStartMs, seat.drains ? Mode.DRAINING : Mode.READY));
+            }
+        }
+        return rows;
+    }
+
+    List<EngineModel.Sums> sums() {
+        return seats.values().stream().map(seat -> seat.model.sums()).toList();
+    }
+
+    // ------------------------------------------------------------------ engines
+
+    /** One engine over its lives. */
+    final class Seat implements EngineModel.Ears {
+        final Make make;
+        EngineModel model;
+        boolean up;
+        boolean listed = true;
+        boolean drains;
+        double listedStartMs;
+        double startedMs;
+        private int life;
+        private boolean stepping;
+        // Ailments.
+        double pausedUntilMs;
+        double lostShare;
+        double brokenShare;
+        boolean full;
+        boolean faulty;
+        boolean forgetful;
+
+        Seat(Make make) {
+            this.make = make;
+        }
+
+        void start(boolean cold) {
+            life++;
+            up = true;
+            stepping = false;
+            startedMs = world.nowMs();
+            model = new EngineModel(silicon(make), cold ? startedMs : startedMs - make.coldMs(), this);
+            log.add(Seen.Kind.STARTED, make.id(), null, null, cold ? 1 : 0, null);
+            int mine = life;
+            world.in(LAPSE_LOOK_MS, () -> lapse(mine));
+        }
+
+        void crash() {
+            if (!up) {
+                return;
+            }
+            up = false;
+            life++;
+            List<Visit> here = new ArrayList<>(visits);
+            visits.clear();
+            for (Visit visit : here) {
+                log.add(Seen.Kind.LEG_OUT, make.id(), visit.order.rid(), visit.talk.tag, visit.job.made(), null);
+                visit.back(() -> visit.over(Outcome.CUT));
+            }
+            for (Job state : states.values()) {
+                log.add(Seen.Kind.STATE_GONE, make.id(), state.rid, ((Visit) state.owner).talk.tag, state.prompt.toks, null);
+            }
+            states.clear();
+            log.add(Seen.Kind.STOPPED, make.id(), null, null, 0, null);
+        }
+
+        private final List<Visit> visits = new ArrayList<>();
+        private final Map<String, Job> states = new TreeMap<>();
+
+        /** Ails no more. */
+        void clear() {
+            pausedUntilMs = 0;
+            lostShare = 0;
+            brokenShare = 0;
+            full = false;
+            faulty = false;
+            forgetful = false;
+            model.ails(1, Integer.MAX_VALUE, 1);
+        }
+
+        private void lapse(int mine) {
+            if (mine == life && up) {
+                model.lapse(world.nowMs());
+                world.in(LAPSE_LOOK_MS, () -> lapse(mine));
+            }
+        }
+
+        void kick() {
+            if (!up || stepping) {
+                return;
+            }
+            double wait = pausedUntilMs - world.nowMs();
+            if (wait > 0) {
+                int mine = life;
+                world.in(wait, () -> {
+                    if (mine == life) {
+                        kick();
+                    }
+                });
+                return;
+            }
+            double ms = model.begin(world.nowMs());
+            if (!Double.isNaN(ms)) {
+                stepping = true;
+                int mine = life;
+                world.in(ms, () -> step(mine));
+            }
+        }
+
+        private void step(int mine) {
+            if (mine != life) {
+                return;
+            }
+            double wait = pausedUntilMs - world.nowMs();
+            if (wait > 0) {
+                world.in(wait, () -> step(mine));
+                return;
+            }
+            stepping = false;
+            model.end(world.nowMs());
+            kick();
+        }
+
+        Report report() {
+            return new Report(model.inflight(), model.queue(), Math.min(1, model.heldShare()), model.toRead());
+        }
+
+        void arrive(Visit visit) {
+            if (visit.isOver) {
+                return;
+            }
+            if (!up) {
+                visit.back(() -> visit.over(Outcome.UNREACHABLE));
+                return;
+            }
+            log.add(visit.job.kind == Job.Kind.READ ? Seen.Kind.READ_IN : Seen.Kind.WRITE_IN, make.id(), visit.order.rid(),
+                    visit.talk.tag, visit.talk.prompt.toks, null);
+            visits.add(visit);
+            boolean wrong = visit.job.kind == Job.Kind.READ ? make.role() == Role.WRITER
+                    : make.role() == Role.READER || visit.job.kind == Job.Kind.BOTH && make.role() != Role.BOTH;
+            if (faulty || wrong) {
+                leave(visit, faulty ? Outcome.FAULT : Outcome.NO_STATE);
+            } else if (full || !model.submit(visit.job)) {
+                leave(visit, Outcome.FULL);
+            } else {
+                visit.lost = random.nextDouble() < lostShare;
+                visit.breakAfter = random.nextDouble() < brokenShare ? random.nextInt(12) : Integer.MAX_VALUE;
+                kick();
+            }
+        }
+
+        /** A leg ends here with something else than what it came for. */
+        private void leave(Visit visit, Outcome outcome) {
+            if (visits.remove(visit)) {
+                model.drop(visit.job);
+                log.add(Seen.Kind.LEG_OUT, make.id(), visit.order.rid(), visit.talk.tag, visit.job.made(), null);
+                if (outcome != null) {
+                    Report report = report();
+                    visit.back(() -> visit.over(outcome, report));
+                }
+                kick();
+            }
+        }
+
+        private void release(String rid) {
+            Job state = states.remove(rid);
+            if (state != null) {
+                model.release(rid);
+                log.add(Seen.Kind.STATE_GONE, make.id(), rid, ((Visit) state.owner).talk.tag, state.prompt.toks, null);
+                kick();
+            }
+        }
+
+        @Override
+        public void read(Job job) {
+            Visit visit = (Visit) job.owner;
+            visits.remove(visit);
+            log.add(Seen.Kind.STATE_HELD, make.id(), job.rid, visit.talk.tag, job.prompt.toks, null);
+            log.add(Seen.Kind.LEG_OUT, make.id(), job.rid, visit.talk.tag, 0, null);
+            states.put(job.rid, job);
+            if (forgetful) {
+                release(job.rid);
+            }
+            Report report = report();
+            if (!visit.lost) {
+                visit.back(() -> visit.read(new Waiting(make.id(), job.rid), job.kept(), job.prompt.toks, report));
+            }
+        }
+
+        @Override
+        public void fetch(Job job) {
+            Visit visit = (Visit) job.owner;
+            Seat from = seats.get(visit.from.engine);
+            if (!from.up || !from.model.holds(visit.from.rid)) {
+                world.in(2 * NEAR_MS, () -> leave(visit, Outcome.NO_STATE));
+                return;
+            }
+            int mine = life;
+            visit.move = links.begin(world.nowMs(), job.prompt.toks, way(from.make, make), () -> {
+                visit.move = null;
+                if (mine != life || !visits.contains(visit)) {
+                    return;
+                }
+                if (!from.up || !from.model.holds(visit.from.rid)) {
+                    leave(visit, Outcome.NO_STATE);
+                    return;
+                }
+                from.release(visit.from.rid);
+                log.add(Seen.Kind.RAN, make.id(), job.rid, visit.talk.tag, job.prompt.toks, null);
+                model.fetched(job);
+                kick();
+            });
+            wakeLinks();
+        }
+
+        @Override
+        public void token(Job job) {
+            Visit visit = (Visit) job.owner;
+            if (job.made() == 1 && job.kind == Job.Kind.BOTH) {
+                log.add(Seen.Kind.RAN, make.id(), job.rid, visit.talk.tag, job.prompt.toks, null);
+            }
+            if (job.made() > visit.breakAfter) {
+                visits.remove(visit);
+                model.drop(job);
+                log.add(Seen.Kind.LEG_OUT, make.id(), job.rid, visit.talk.tag, job.made(), null);
+                visit.back(() -> visit.over(Outcome.CUT));
+            } else if (!visit.lost) {
+                int made = job.made();
+                visit.back(() -> visit.piece(made));
+            }
+        }
+
+        @Override
+        public void done(Job job) {
+            Visit visit = (Visit) job.owner;
+            visits.remove(visit);
+            log.add(Seen.Kind.LEG_OUT, make.id(), job.rid, visit.talk.tag, job.made(), null);
+            Report report = report();
+            if (!visit.lost) {
+                visit.back(() -> visit.done(job, report));
+            }
+        }
+
+        @Override
+        public void lost(Job job) {
+            if (states.remove(job.rid) != null) {
+                log.add(Seen.Kind.STATE_GONE, make.id(), job.rid, ((Visit) job.owner).talk.tag, job.prompt.toks, null);
+            }
+        }
+    }
+
+    private List<Links.Link> way(Make from, Make to) {
+        List<Links.Link> way = new ArrayList<>();
+        way.add(links.link("engine " + from.id(), from.moveToksPerMs()));
+        if (!from.zone().equals(to.zone())) {
+            way.add(links.link("zone " + from.zone() + " to " + to.zone(), ZONE_LINK * from.moveToksPerMs()));
+        }
+        if (from.rack() != to.rack() || !from.zone().equals(to.zone())) {
+            way.add(links.link("rack " + from.zone() + from.rack(), RACK_LINK * from.moveToksPerMs()));
+        }
+        return way;
+    }
+
+    private void wakeLinks() {
+        double next = links.nextMs();
+        if (linkWake >= 0 && linkWakeMs <= next) {
+            return;
+        }
+        if (linkWake >= 0) {
+            world.cancel(linkWake);
+            linkWake = -1;
+        }
+        if (next < Double.POSITIVE_INFINITY) {
+            linkWakeMs = next;
+            linkWake = world.in(next - world.nowMs(), () -> {
+                linkWake = -1;
+                links.advance(world.nowMs());
+                wakeLinks();
+            });
+        }
+    }
+
+    // ------------------------------------------------------------------ the way to them
+
+    /** A front's link to the engines. */
+    EngineLink link(String zone) {
+        return new EngineLink() {
+            @Override
+            public Flight read(Order order, Hearing hearing) {
+                return new Visit(order, hearing, zone, Job.Kind.READ);
+            }
+
+            @Override
+            public Flight write(Order order, Hearing hearing) {
+                return new Visit(order, hearing, zone, order.state() == null ? Job.Kind.BOTH : Job.Kind.WRITE);
+            }
+
+            @Override
+            public void release(Spot spot, String rid) {
+                Seat seat = seats.get((long) spot.port());
+                world.in(wayMs(zone, seat), () -> {
+                    if (seat.up) {
+                        seat.release(rid);
+                    }
+                });
+            }
+
+            @Override
+            public void probe(Spot spot, java.util.function.Consumer<Report> told) {
+                Seat seat = seats.get((long) spot.port());
+                double ms = wayMs(zone, seat);
+                world.in(ms, () -> {
+                    Report report = seat.up ? seat.report() : null;
+                    double wait = Math.max(0, seat.pausedUntilMs - world.nowMs());
+                    world.in(wait + ms, () -> told.accept(wait > 500 ? null : report));
+                });
+            }
+
+            @Override
+            public void close() {
+                // Nothing is open.
+                return;
+            }
+        };
+    }
+
+    private static double wayMs(String zone, Seat seat) {
+        return seat.make.zone().equals(zone) ? NEAR_MS : FAR_MS;
+    }
+
+    /** A leg on its way, at its engine, and on its way back. */
+    private final class Visit implements EngineLink.Flight {
+        final Order order;
+        final Talk talk;
+        final Job job;
+        final Waiting from;
+        private final Hearing hearing;
+        private final Seat seat;
+        private final double ms;
+        Links.Move move;
+        boolean isOver;
+        boolean lost;
+        int breakAfter = Integer.MAX_VALUE;
+        private boolean begun;
+
+        Visit(Order order, Hearing hearing, String zone, Job.Kind kind) {
+            this.order = order;
+            this.hearing = hearing;
+            talk = talks.get(order.prompt());
+            from = (Waiting) order.state();
+            seat = seats.get((long) order.spot().port());
+            ms = wayMs(zone, seat);
+            job = new Job(order.rid(), kind, talk.prompt, Math.min(order.maxToks(), talk.length));
+            job.owner = this;
+            world.in(0, () -> {
+                if (!isOver && !order.stillMay().getAsBoolean()) {
+                    over(Outcome.NOT_SENT);
+                } else {
+                    world.in(ms, () -> seat.arrive(this));
+                }
+            });
+        }
+
+        /** Back to the front, if that still listens then. */
+        void back(Runnable what) {
+            world.in(ms, () -> {
+                if (!isOver) {
+                    what.run();
+                }
+            });
+        }
+
+        void read(Waiting state, int kept, int toks, Report report) {
+            isOver = true;
+            hearing.read(state, kept, toks, report);
+        }
+
+        void piece(int number) {
+            if (!begun) {
+                begun = true;
+                hearing.begun();
+            }
+            if (!isOver) {
+                hearing.piece("w" + number + " ");
+                hearing.soFar();
+            }
+        }
+
+        void done(Job job, Report report) {
+            isOver = true;
+            hearing.ended(Outcome.STREAMED, report, new Ending(job.length < order.maxToks() ? Ending.Why.END_OF_TURN
+                    : Ending.Why.MOST_TOKENS, null, talk.prompt.toks, job.made()));
+        }
+
+        void over(Outcome outcome) {
+            over(outcome, null);
+        }
+
+        void over(Outcome outcome, Report report) {
+            isOver = true;
+            hearing.ended(outcome, report, null);
+        }
+
+        @Override
+        public void cancel() {
+            callOff(Outcome.CANCELLED);
+        }
+
+        @Override
+        public void expire() {
+            callOff(Outcome.TIMED_OUT);
+        }
+
+        private void callOff(Outcome outcome) {
+            if (isOver) {
+                return;
+            }
+            isOver = true;
+            world.in(0, () -> hearing.ended(outcome, null, null));
+            world.in(ms, () -> {
+                if (move != null) {
+                    links.stop(world.nowMs(), move);
+                    move = null;
+                    wakeLinks();
+                }
+                seat.leave(this, null);
+            });
+        }
+
+        @Override
+        public void pause() {
+            // Clients of virtual drills take what they get.
+            return;
+        }
+
+        @Override
+        public void resume() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/virtual/World.java
@@ -0,0 +1,98 @@
+package larchridge.virtual;
+
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import larchridge.front.Ground;
+
+/** Virtual time: steps run in the order of their times and, in one moment, in the order in which they were asked for. */
+final class World {
+    /** The moment at which it begins, as Unix time: engines that start at 0 are those whose start nobody knows. */
+    static final double START_MS = 1_000_000_000;
+
+    private record Step(double ms, long number, Runnable run) { }
+
+    private final PriorityQueue<Step> steps = new PriorityQueue<>(Comparator.comparingDouble(Step::ms)
+            .thenComparingLong(Step::number));
+    private final Set<Long> called = new HashSet<>();
+    private double nowMs = START_MS;
+    private long numbers;
+    private long ran;
+
+    double nowMs() {
+        return nowMs;
+    }
+
+    /** Milliseconds since the beginning. */
+    double sinceMs() {
+        return nowMs - START_MS;
+    }
+
+    long ran() {
+        return ran;
+    }
+
+    long in(double ms, Runnable run) {
+        steps.add(new Step(nowMs + Math.max(0, ms), ++numbers, run));
+        return numbers;
+    }
+
+    /** Calls a step off that has not run. */
+    void cancel(long number) {
+        called.add(number);
+    }
+
+    /** Runs until so many milliseconds since the beginning. */
+    void run(double untilMs) {
+        while (!steps.isEmpty() && steps.peek().ms <= START_MS + untilMs) {
+            Step step = steps.poll();
+            nowMs = step.ms;
+            if (called.isEmpty() || !called.remove(step.number)) {
+                ran++;
+                step.run.run();
+            }
+        }
+        nowMs = START_MS + untilMs;
+    }
+
+    /** What one front stands on. */
+    Ground ground(int front, long seed) {
+        Random random = new Random(seed * 31 + front);
+        return new Ground() {
+            @Override
+            public double nowMs() {
+                return nowMs;
+            }
+
+            @Override
+            public long in(double ms, Runnable step) {
+                return World.this.in(Math.max(1, Math.ceil(ms)), step);
+            }
+
+            @Override
+            public void cancel(long number) {
+                World.this.cancel(number);
+            }
+
+            @Override
+            public void later(Runnable step) {
+                World.this.in(0, step);
+            }
+
+            @Override
+            public void every(double ms, Runnable step) {
+                World.this.in(ms, () -> {
+                    step.run();
+                    every(ms, step);
+                });
+            }
+
+            @Override
+            public String stem() {
+                return "f" + front + Long.toString(random.nextLong() & 0xFFFFFF, 36) + "-";
+            }
+        };
+    }
+}
