Experiments over drills in virtual time, plain policies beside the module

Need: routing choices are judged by experiments whose results are kept, beside baselines, with their noise. Plain policies stand in package baseline, over the same interface. The gap of batch work judges a window as soon as enough was seen, and grows by a quarter twice a second before any trouble.

--- /dev/null
+++ b/src/main/java/larchridge/baseline/Plain.java
@@ -0,0 +1,188 @@
+package larchridge.baseline;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+import larchridge.Host;
+import larchridge.front.Decider;
+import larchridge.state.Effect;
+import larchridge.state.Engine;
+import larchridge.state.Fleet;
+import larchridge.state.Gen;
+import larchridge.state.Leg;
+import larchridge.state.Listing;
+import larchridge.state.Outcome;
+import larchridge.state.Report;
+import larchridge.state.Role;
+import larchridge.state.Span;
+import larchridge.state.Terms;
+import larchridge.state.Text;
+
+/**
+ * Plain policies that the module is compared with in experiments; never in the program's path. Each takes one reader and, when
+ * that has read, one writer, waits for nothing, asks for no load, and tries again elsewhere where an effect allows it.
+ */
+public final class Plain implements Decider {
+    /** How an engine is taken from its pool. */
+    public enum Kind { RANDOM, ROUND_ROBIN, LEAST_OPEN, POWER_OF_TWO, PREFIX_HASH }
+
+    private static final double EARLY_MS = 30;
+    private static final double LOOK_MS = 20;
+
+    private final Kind kind;
+    private final Host host;
+    private final Random random;
+    private final int maxLegs;
+    private final Fleet fleet = new Fleet();
+    private final List<Gen> open = new ArrayList<>();
+    private boolean wakeSet;
+    private int turn;
+
+    public Plain(Kind kind, Terms terms, Host host) {
+        this.kind = kind;
+        this.host = host;
+        random = new Random(terms.seed);
+        maxLegs = terms.maxLegs;
+    }
+
+    @Override
+    public void arrived(Gen gen) {
+        open.add(gen);
+        advance(gen);
+        setWake();
+    }
+
+    private void advance(Gen gen) {
+        if (gen.state != null && gen.state.isLost()) {
+            host.release(gen);
+            gen.state = null;
+        }
+        Engine engine = pick(gen, gen.state == null ? fleet.readers : fleet.writers);
+        if (engine == null || gen.legs.size() + (gen.state == null ? 2 : 1) > maxLegs) {
+            giveUp(gen);
+            return;
+        }
+        boolean read = engine.role == Role.READER;
+        Leg leg = new Leg(gen, engine, read, host.now(), gen.promptToks, gen.state == null ? gen.promptToks : 0);
+        gen.held |= read;
+        leg.open();
+        host.send(leg);
+    }
+
+    private Engine pick(Gen gen, List<Engine> pool) {
+        if (pool.isEmpty()) {
+            return null;
+        }
+        return switch (kind) {
+            case RANDOM -> pool.get(random.nextInt(pool.size()));
+            case ROUND_ROBIN -> pool.get(turn++ % pool.size());
+            case LEAST_OPEN -> pool.stream().min(Comparator.comparingInt(e -> e.legs.size())).get();
+            case POWER_OF_TWO -> {
+                Engine one = pool.get(random.nextInt(pool.size()));
+                Engine other = pool.get(random.nextInt(pool.size()));
+                yield one.legs.size() <= other.legs.size() ? one : other;
+            }
+            case PREFIX_HASH -> {
+                Text text = gen.prefix != null ? gen.prefix : gen.session;
+                yield gen.state != null || text == null ? pool.get(random.nextInt(pool.size()))
+                        : pool.stream().max(Comparator.comparingLong(text::affinity)).get();
+            }
+        };
+    }
+
+    @Override
+    public void readDone(Leg leg, int keptToks, Report report, boolean over) {
+        Gen gen = leg.gen;
+        leg.close();
+        gen.over |= over;
+        if (gen.over) {
+            host.release(gen);
+            return;
+        }
+        gen.state = leg;
+        advance(gen);
+    }
+
+    @Override
+    public void begun(Leg leg) {
+        leg.markRead();
+        leg.gen.begun = true;
+        leg.gen.state = null;
+    }
+
+    @Override
+    public void ended(Leg leg, Outcome outcome, Report report, boolean over) {
+        Gen gen = leg.gen;
+        leg.outcome = outcome;
+        leg.close();
+        gen.over |= over;
+        if (gen.over || gen.begun || outcome == Outcome.NO_STATE) {
+            host.release(gen);
+            gen.state = null;
+        }
+        if (gen.over || gen.begun || gen.legsOut > 0) {
+            return;
+        }
+        boolean mayRepeat = gen.product.effect == Effect.IDEMPOTENT || gen.legs.stream().noneMatch(Leg::mayHaveRun);
+        if (mayRepeat && host.now() < gen.limitMs - EARLY_MS) {
+            advance(gen);
+        } else {
+            giveUp(gen);
+        }
+    }
+
+    private void giveUp(Gen gen) {
+        for (Leg leg : gen.legs) {
+            if (leg.out && !leg.cancelled) {
+                leg.cancelled = true;
+                host.cancel(leg);
+            }
+        }
+        departed(gen);
+        if (gen.product.effect == Effect.IDEMPOTENT
+                || gen.product.effect == Effect.DEDUPLICATED && gen.product.span == Span.ALL
+                || gen.legs.stream().noneMatch(Leg::mayHaveRun)) {
+            host.throttle(gen, 0);
+        } else {
+            host.terminate(gen);
+        }
+    }
+
+    @Override
+    public void departed(Gen gen) {
+        gen.over = true;
+        host.release(gen);
+        gen.state = null;
+    }
+
+    @Override
+    public void probed(Engine engine, boolean answered, Report report) {
+        // Nothing is asked.
+        return;
+    }
+
+    @Override
+    public void listed(List<Listing> entries, boolean complete) {
+        fleet.take(entries, complete, host.now());
+    }
+
+    @Override
+    public void woken() {
+        wakeSet = false;
+        open.removeIf(gen -> (gen.over || gen.begun) && gen.legsOut == 0);
+        for (Gen gen : List.copyOf(open)) {
+            if (!gen.over && !gen.begun && host.now() >= gen.limitMs - EARLY_MS) {
+                giveUp(gen);
+            }
+        }
+        setWake();
+    }
+
+    private void setWake() {
+        if (!wakeSet && !open.isEmpty()) {
+            wakeSet = true;
+            host.wake(host.now() + LOOK_MS);
+        }
+    }
+}
--- a/src/main/java/larchridge/drill/Script.java
+++ b/src/main/java/larchridge/drill/Script.java
@@ -41,6 +41,14 @@
                 products, batches, clients, troubles);
     }
 
+    /** The same script with so many times the load and the engines, and so many fronts. */
+    public Script scaled(double load, double fleet, int others) {
+        List<Group> groups = engines.stream().map(group -> new Group(group.role, (int) Math.max(1, Math.round(group.count * fleet)),
+                group.zones, group.racks, group.speed)).toList();
+        return new Script(seed, others, durationMs, ratePerS * load, listLagMs, probes, processes, encoding, counted, tenants,
+                groups, products, batches, clients, troubles);
+    }
+
     /** The same script without its batches. */
     public Script withoutBatches() {
         return new Script(seed, fronts, durationMs, ratePerS, listLagMs, probes, processes, encoding, counted, tenants, engines,
--- a/src/main/java/larchridge/planner/Gap.java
+++ b/src/main/java/larchridge/planner/Gap.java
@@ -8,7 +8,7 @@
  * <p>The law is the cubic one of congestion control: after trouble the limit falls by a factor, comes back quickly to
  * just under where the trouble came, stays near that for a while and only then tries for more. Beside plain additive
  * increase it spends most of its time near what can be carried, so that its swings stay small. Before there has been any
- * trouble it grows by half twice a second. It does not grow while it is not used. Trouble is a first token later than
+ * trouble it grows by a quarter twice a second. It does not grow while it is not used. Trouble is a first token later than
  * first tokens are where there is little batch work, a wait for readers, or a generation turned away; the last closes the gap
  * for a while, longer each time that it comes again soon. Without I/O, clock or threads.
  */
@@ -19,7 +19,7 @@
     /** Of the ceiling; it is back there after the third root of (1 - FALL) / this seconds, whatever its size. */
     private static final double GROWTH_PER_S3 = 0.004;
     private static final double BACK_S = Math.cbrt((1 - FALL) / GROWTH_PER_S3);
-    private static final double START_GROWTH = 1.5;
+    private static final double START_GROWTH = 1.25;
     private static final double STEP_MS = 500;
     private static final double USED = 0.8;
     private static final double CLOSED_MS = 1000;
@@ -31,7 +31,10 @@
     private static final double WAIT_SHARE = 0.25;
     private static final double HIGH = 0.9;
     private static final int LEAST_SEEN = 8;
+    /** With so many first tokens a window is judged before its time. */
+    private static final int ENOUGH_SEEN = 50;
     private static final int WINDOW_MS = 2000;
+    private static final double APART_MS = 1000;
     private static final int USUAL_SPANS = 150;
 
     private final double most;
@@ -80,8 +83,9 @@
         } else if (feeling.longestWait > WAIT_SHARE) {
             fall(FALL, nowMs);
         }
-        if (nowMs >= windowMs + WINDOW_MS) {
-            judge(nowMs);
+        int count = java.util.Arrays.stream(seen).sum();
+        if (nowMs >= windowMs + WINDOW_MS || count >= ENOUGH_SEEN) {
+            judge(count, nowMs);
         }
         step(nowMs);
     }
@@ -96,9 +100,8 @@
         return falls.sum(nowMs);
     }
 
-    private void judge(double nowMs) {
+    private void judge(int count, double nowMs) {
         windowMs = nowMs;
-        int count = java.util.Arrays.stream(seen).sum();
         if (count >= LEAST_SEEN) {
             double high = high(count);
             usual[windows++ % USUAL_SPANS] = high;
@@ -137,7 +140,7 @@
 
     /** Danger: one trouble is told by all fronts; only the first to tell makes the limit fall. */
     private void fall(double factor, double nowMs) {
-        if (nowMs < fellMs + WINDOW_MS) {
+        if (nowMs < fellMs + APART_MS) {
             return;
         }
         falls.add(nowMs, 1);
--- /dev/null
+++ b/src/test/java/larchridge/experiment/ExperimentTest.java
@@ -0,0 +1,84 @@
+package larchridge.experiment;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class ExperimentTest {
+    private Path folder;
+
+    @BeforeEach
+    void make() throws Exception {
+        folder = Files.createTempDirectory("larchridge-experiment");
+        Files.writeString(folder.resolve("s.yaml"), """
+                duration_ms: 1500
+                rate_per_s: 60
+                engines:
+                  - {role: reader, count: 2}
+                  - {role: writer, count: 2}
+                products:
+                  - {name: consulta, slo_ms: 600, time_limit_ms: 2500, prompt_tokens: 300, output_tokens: 8}
+                """);
+        Files.writeString(folder.resolve("p.yaml"), """
+                script: s.yaml
+                seeds: [1, 2]
+                policies: [choice, random]
+                rates: [1, 2]
+                """);
+    }
+
+    @AfterEach
+    void remove() throws Exception {
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    @Test
+    void planThatWasStoppedGoesOnWhereItWas() throws Exception {
+        Plan plan = Plan.read(folder.resolve("p.yaml"));
+        Path table = folder.resolve("results.csv");
+        List<Runs.Row> rows = Runs.run(plan, table, 2);
+        assertEquals(8, rows.size());
+        String whole = Files.readString(table);
+        // Cut in the middle of its last line, as by a kill.
+        Files.writeString(table, whole.substring(0, whole.length() - 7));
+        List<Runs.Row> again = Runs.run(plan, table, 2);
+        assertEquals(rows.stream().map(Runs.Row::digest).toList(), again.stream().map(Runs.Row::digest).toList());
+        assertEquals(9, Files.readAllLines(table).size());
+        Page.write(plan, rows, folder);
+        assertTrue(Files.readString(folder.resolve("service.svg")).contains("<svg"));
+    }
+
+    @Test
+    void differencesAreTakenSeedBySeedAndNoiseIsCalledSo() {
+        Page.Mean noise = Page.Mean.of(List.of(0.1, -0.1, 0.05, -0.04));
+        Page.Mean real = Page.Mean.of(List.of(0.1, 0.11, 0.09, 0.1));
+        assertFalse(noise.isMoreThanNoise());
+        assertTrue(real.isMoreThanNoise());
+        assertEquals(0.1, real.value(), 1e-9);
+        // t of 3 degrees at 97.5% is 3.182.
+        assertEquals(3.182 * 0.00816 / 2, real.half(), 1e-4);
+    }
+
+    @Test
+    void badPlanNamesFileAndField() throws Exception {
+        Path bad = folder.resolve("bad.yaml");
+        Files.writeString(bad, "script: s.yaml\npolicies: [best]\n");
+        assertTrue(assertThrows(Plan.BadPlan.class, () -> Plan.read(bad)).getMessage().contains("bad.yaml: policies: 'best'"));
+        Files.writeString(bad, "script: s.yaml\nseed: [1\n");
+        assertTrue(assertThrows(Plan.BadPlan.class, () -> Plan.read(bad)).getMessage().contains("bad.yaml:"));
+    }
+}
--- /dev/null
+++ b/src/test/java/larchridge/virtual/DayTest.java
@@ -0,0 +1,77 @@
+package larchridge.virtual;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import larchridge.baseline.Plain;
+import larchridge.drill.Rules;
+import larchridge.drill.Script;
+import larchridge.drill.ScriptReader;
+import larchridge.emulator.EngineModel;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Drills in virtual time. */
+class DayTest {
+    private static Script badDay() throws Exception {
+        return ScriptReader.read(Path.of("deploy/bad-day.yaml"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void everyRuleHoldsAndOneSeedIsOneRun(long seed) throws Exception {
+        Day.Result one = Day.play(badDay().withSeed(seed));
+        System.out.println("seed " + seed + ": service " + one.all().service() + ", digest " + one.digest());
+        assertEquals(List.of(), one.breaches());
+        assertTrue(one.all().asked >= 2000);
+        assertTrue(one.all().service() > 0.6, "service " + one.all().service());
+        assertEquals(one.digest(), Day.play(badDay().withSeed(seed)).digest());
+        assertNotEquals(one.digest(), Day.play(badDay().withSeed(seed + 10)).digest());
+    }
+
+    @Test
+    void tokensAddUp() throws Exception {
+        Day.Result day = Day.play(badDay());
+        for (EngineModel.Sums sums : day.sums()) {
+            // Each prompt that came was kept, read, read again after a preemption, or left unread when it was called off.
+            assertTrue(sums.promptToksRead() + sums.promptToksKept() >= 0);
+            assertTrue(sums.preemptions() > 0 || sums.promptToksRead() + sums.promptToksKept() <= sums.promptToksIn(),
+                    sums.toString());
+        }
+    }
+
+    @Test
+    void stallUnderLoadIsLivedThrough() throws Exception {
+        Script script = ScriptReader.read("script", """
+                seed: 5
+                fronts: 6
+                duration_ms: 12000
+                rate_per_s: 150
+                engines:
+                  - {role: reader, count: 4}
+                  - {role: writer, count: 4}
+                products:
+                  - {name: consulta, slo_ms: 600, time_limit_ms: 2500, prompt_tokens: 300, output_tokens: 16}
+                clients: {retries: 1, retry_ms: 100}
+                troubles:
+                  - {at_ms: 3000, for_ms: 5000, kind: stall, engines: [5], size: 6}
+                """);
+        Day.Result day = Day.play(script);
+        assertEquals(List.of(), day.breaches());
+        assertTrue(day.all().service() > 0.9, "service " + day.all().service());
+    }
+
+    /** Plain policies keep the rules too, or comparing with them would say nothing. */
+    @ParameterizedTest
+    @EnumSource(Plain.Kind.class)
+    void plainPoliciesAnswerEveryone(Plain.Kind kind) throws Exception {
+        Day.Result day = Day.play(badDay(), (terms, host) -> new Plain(kind, terms, host));
+        List<Rules.Breach> one = day.breaches().stream().filter(breach -> breach.rule() == 1).toList();
+        assertEquals(List.of(), one);
+    }
+}
