The gap of batch work opens again soon after a storm

Cause: each blow of a storm lowered the place to which the limit comes back, so that six seconds after it batches went at a tenth of what they had.

--- a/src/main/java/larchridge/planner/Gap.java
+++ b/src/main/java/larchridge/planner/Gap.java
@@ -144,8 +144,12 @@
             return;
         }
         falls.add(nowMs, 1);
-        // A fall under the last ceiling says that there is less to be had than then.
-        ceiling = limit < ceiling ? limit * (1 + factor) / 2 : limit;
+        // A fall under the last ceiling says that there is less to be had than then. Danger: in a storm of others it says
+        // nothing; each of its blows would lower the ceiling, and the gap would take minutes to open again after it.
+        boolean inStorm = closedForMs > 0 && nowMs < closedUntilMs + SOON_MS;
+        if (!inStorm) {
+            ceiling = limit < ceiling ? limit * (1 + factor) / 2 : limit;
+        }
         limit = Math.max(1, limit * factor);
         fellMs = nowMs;
         steppedMs = nowMs;
--- a/src/test/java/larchridge/planner/PlannerTest.java
+++ b/src/test/java/larchridge/planner/PlannerTest.java
@@ -70,6 +70,21 @@
         assertEquals(List.of(1000.0, 2000.0, 4000.0), List.of(closed[0], closed[1], closed[2]));
     }
 
+    /** Danger: each blow of a storm would lower the place to which the limit comes back, and it would take minutes. */
+    @Test
+    void limitIsSoonBackAfterAStorm() {
+        Gap gap = new Gap(40);
+        double now = grown(gap, 0, 20_000);
+        double before = gap.limit(now);
+        for (double end = now + 6000; now < end; now += 100) {
+            gap.open(gap.limit(now));
+            gap.felt(turned(), now);
+        }
+        assertTrue(gap.limit(now) < 0.1 * before);
+        now = grown(gap, now, 10_000);
+        assertTrue(gap.limit(now) > 0.5 * before, gap.limit(now) + " of " + before);
+    }
+
     /** Danger: trouble that is not of its making would keep batch work out for ever. */
     @Test
     void troubleWhileNothingIsOpenClosesNothing() {
