A row of falls lowers the place to which batch work comes back by a tenth each

Cause: the falls before the gap closes in a storm had lowered it too, so that ten seconds after a storm batches went at a fifth. Change: a fall within ten seconds of another lowers that place by a tenth, not to under the limit.

--- a/src/main/java/larchridge/planner/Gap.java
+++ b/src/main/java/larchridge/planner/Gap.java
@@ -16,6 +16,8 @@
     private static final double FIRST = 2;
     private static final double FALL = 0.6;
     private static final double HARD_FALL = 0.25;
+    /** What the ceiling is lowered to by a fall soon after another. */
+    private static final double ROW_FALL = 0.9;
     /** Of the ceiling; it is back there after the third root of (1 - FALL) / this seconds, whatever its size. */
     private static final double GROWTH_PER_S3 = 0.004;
     private static final double BACK_S = Math.cbrt((1 - FALL) / GROWTH_PER_S3);
@@ -42,6 +44,7 @@
     /** Where trouble came last; infinite until it has. */
     private double ceiling = Double.POSITIVE_INFINITY;
     private double fellMs = Double.NEGATIVE_INFINITY;
+    private double lastFallMs = Double.NEGATIVE_INFINITY;
     private double steppedMs;
     private double closedUntilMs;
     private double closedForMs;
@@ -144,12 +147,14 @@
             return;
         }
         falls.add(nowMs, 1);
-        // A fall under the last ceiling says that there is less to be had than then. Danger: in a storm of others it says
-        // nothing; each of its blows would lower the ceiling, and the gap would take minutes to open again after it.
-        boolean inStorm = closedForMs > 0 && nowMs < closedUntilMs + SOON_MS;
-        if (!inStorm) {
-            ceiling = limit < ceiling ? limit * (1 + factor) / 2 : limit;
+        // A fall under the last ceiling says that there is less to be had than then. Danger: a storm of others is a row of
+        // falls that say little of that; if each lowered the ceiling so far, the gap would take minutes to open again.
+        if (limit >= ceiling) {
+            ceiling = limit;
+        } else {
+            ceiling = nowMs < lastFallMs + SOON_MS ? ROW_FALL * ceiling : limit * (1 + factor) / 2;
         }
+        lastFallMs = nowMs;
         limit = Math.max(1, limit * factor);
         fellMs = nowMs;
         steppedMs = nowMs;
