A search for the troubles under which the module does worst

Need: scripts that somebody thought of say little of troubles on no list. Change: search plays random and changed troubles in virtual time, takes those that break a rule, else those where a plain policy serves most more, and leaves out what is not needed; the script it writes can be played again.

--- a/src/main/java/larchridge/cli/Main.java
+++ b/src/main/java/larchridge/cli/Main.java
@@ -11,7 +11,8 @@
 @Command(name = "larchridge", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
         description = "A router for language-model serving with reading and writing on separate engines.",
         subcommands = {ServeCommand.class, DemoCommand.class, EngineCommand.class, CheckCommand.class,
-            DrillCommand.class, PumpCommand.class, SoakCommand.class, ExperimentCommand.class, BillCommand.class, LedgerCommand.class,
+            DrillCommand.class, PumpCommand.class, SoakCommand.class, ExperimentCommand.class,
+            SearchCommand.class, BillCommand.class, LedgerCommand.class,
             StoreCommand.class, KillsCommand.class,
             BenchlinkCommand.class, AutoComplete.GenerateCompletion.class})
 public final class Main implements Callable<Integer> {
--- a/src/main/java/larchridge/drill/Script.java
+++ b/src/main/java/larchridge/drill/Script.java
@@ -49,6 +49,12 @@
                 groups, products, batches, clients, troubles);
     }
 
+    /** The same script with other troubles. */
+    public Script withTroubles(List<Trouble> others) {
+        return new Script(seed, fronts, durationMs, ratePerS, listLagMs, probes, processes, encoding, counted, tenants, engines,
+                products, batches, clients, others);
+    }
+
     /** The same script without its batches. */
     public Script withoutBatches() {
         return new Script(seed, fronts, durationMs, ratePerS, listLagMs, probes, processes, encoding, counted, tenants, engines,
--- a/src/test/java/larchridge/experiment/ExperimentTest.java
+++ b/src/test/java/larchridge/experiment/ExperimentTest.java
@@ -10,6 +10,8 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Stream;
+import larchridge.drill.Script;
+import larchridge.drill.ScriptReader;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -73,6 +75,15 @@
         assertEquals(3.182 * 0.00816 / 2, real.half(), 1e-4);
     }
 
+    @Test
+    void searchFindsTheSameFromOneSeedAndItsScriptCanBePlayedAgain() throws Exception {
+        Script script = ScriptReader.read(folder.resolve("s.yaml"));
+        Search.Found one = Search.run(script, 3, 6, 2);
+        assertEquals(one, Search.run(script, 3, 6, 2));
+        Files.writeString(folder.resolve("found.yaml"), Search.yaml(one.script()));
+        assertEquals(one.script().troubles(), ScriptReader.read(folder.resolve("found.yaml")).troubles());
+    }
+
     @Test
     void badPlanNamesFileAndField() throws Exception {
         Path bad = folder.resolve("bad.yaml");
