--- a/src/main/java/larchridge/cli/SoakCommand.java
+++ b/src/main/java/larchridge/cli/SoakCommand.java
@@ -22,7 +22,7 @@
     private double seconds;
     @Option(names = "--seed", defaultValue = "1", description = "default: ${DEFAULT-VALUE}")
     private long seed;
-    @Option(names = "--into", required = true, paramLabel = "FOLDER", description = "for soak.csv and soak.svg")
+    @Option(names = "--into", required = true, paramLabel = "FOLDER", description = "for soak.csv and soak.png")
     private Path folder;
 
     @Override
--- a/src/main/java/larchridge/drill/Soak.java
+++ b/src/main/java/larchridge/drill/Soak.java
@@ -23,7 +23,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
-import org.knowm.xchart.VectorGraphicsEncoder;
+import org.knowm.xchart.BitmapEncoder;
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
 import org.knowm.xchart.style.markers.SeriesMarkers;
@@ -220,11 +220,11 @@
         }
         XYChart chart = new XYChartBuilder().width(900).height(420).title("A front's heap and kept counts")
                 .xAxisTitle("minutes").yAxisTitle("MB, and thousands of counts").build();
+        chart.getStyler().setXAxisDecimalPattern("0");
         double[] minutes = column(0, 60);
         chart.addSeries("heap used, MB", minutes, column(1, 1e6)).setMarker(SeriesMarkers.NONE);
         chart.addSeries("counts kept, thousands", minutes, column(2, 1e3)).setMarker(SeriesMarkers.NONE);
-        VectorGraphicsEncoder.saveVectorGraphic(chart, folder.resolve("soak").toString(),
-                VectorGraphicsEncoder.VectorGraphicsFormat.SVG);
+        BitmapEncoder.saveBitmap(chart, folder.resolve("soak").toString(), BitmapEncoder.BitmapFormat.PNG);
     }
 
     private double[] column(int index, double unit) {
