One draw of products and tenants for both kinds of drills, one copy of store folders

Cause: what the change had written again beside its twin. Change: Script draws mixes and tenants for sockets and virtual time; Store copies folders for restore and measurement.

--- a/src/main/java/larchridge/cli/StoreCommand.java
+++ b/src/main/java/larchridge/cli/StoreCommand.java
@@ -9,7 +9,6 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
-import java.util.stream.Stream;
 import larchridge.drill.StoreCost;
 import larchridge.store.Points;
 import larchridge.store.Store;
@@ -69,15 +68,8 @@
             System.err.println(to + ": is there already; nothing was changed");
             return 1;
         }
-        try (Stream<Path> all = Files.walk(from)) {
-            for (Path path : all.toList()) {
-                Path into = to.resolve(from.relativize(path).toString());
-                if (Files.isDirectory(path)) {
-                    Files.createDirectories(into);
-                } else {
-                    Files.copy(path, into);
-                }
-            }
+        try {
+            Store.copyFolder(from, to);
         } catch (IOException e) {
             return failed(e);
         }
--- a/src/main/java/larchridge/drill/Load.java
+++ b/src/main/java/larchridge/drill/Load.java
@@ -112,16 +112,8 @@
     }
 
     private Session session() {
-        double draw = random.nextDouble() * script.products().stream().mapToDouble(Script.Mix::share).sum();
-        Script.Mix mix = script.products().get(0);
-        for (Script.Mix one : script.products()) {
-            mix = one;
-            draw -= one.share();
-            if (draw <= 0) {
-                break;
-            }
-        }
-        String tenant = tenant();
+        Script.Mix mix = script.anyMix(random);
+        String tenant = script.anyTenant(random).name();
         if (random.nextDouble() < 1 - 1 / mix.turns()) {
             for (int i = 0; i < sessions.size(); i++) {
                 Session one = sessions.get(i);
@@ -135,18 +127,6 @@
         return new Session(mix, tenant, random.nextInt(mix.prefixes()), turns);
     }
 
-    private String tenant() {
-        List<Script.Tenant> tenants = script.tenants();
-        double draw = random.nextDouble() * tenants.stream().mapToDouble(Script.Tenant::share).sum();
-        for (Script.Tenant one : tenants) {
-            draw -= one.share();
-            if (draw <= 0) {
-                return one.name();
-            }
-        }
-        return tenants.get(tenants.size() - 1).name();
-    }
-
     /** Readings of gauges: many more tokens a character than prose has. */
     private String readings(int chars) {
         StringBuilder text = new StringBuilder();
--- a/src/main/java/larchridge/drill/Script.java
+++ b/src/main/java/larchridge/drill/Script.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.List;
+import java.util.Random;
 
 /**
  * A drill: engines, load and troubles against time, milliseconds from the start. Fields that a file leaves out have the
@@ -35,6 +36,30 @@
                          @JsonProperty("tokens_per_second") double toksPerS,
                          @JsonProperty("burst_tokens") double burstToks) { }
 
+    /** A product by its share of the load. */
+    public Mix anyMix(Random random) {
+        double draw = random.nextDouble() * products.stream().mapToDouble(Mix::share).sum();
+        for (Mix one : products) {
+            draw -= one.share();
+            if (draw <= 0) {
+                return one;
+            }
+        }
+        return products.get(products.size() - 1);
+    }
+
+    /** A tenant by its share of the load. */
+    public Tenant anyTenant(Random random) {
+        double draw = random.nextDouble() * tenants.stream().mapToDouble(Tenant::share).sum();
+        for (Tenant one : tenants) {
+            draw -= one.share();
+            if (draw <= 0) {
+                return one;
+            }
+        }
+        return tenants.get(tenants.size() - 1);
+    }
+
     /** The same script with another seed. */
     public Script withSeed(long other) {
         return new Script(other, fronts, durationMs, ratePerS, listLagMs, probes, processes, encoding, counted, tenants, engines,
--- a/src/main/java/larchridge/drill/StoreCost.java
+++ b/src/main/java/larchridge/drill/StoreCost.java
@@ -43,7 +43,7 @@
                 store.answered(group, List.of(batch));
             }
             writtenMs = (System.nanoTime() - start) / 1e6;
-            copy(folder, copy);
+            Store.copyFolder(folder, copy);
         }
         long start = System.nanoTime();
         try (Store store = Store.open(copy, Points.NONE)) {
@@ -54,19 +54,6 @@
         }
     }
 
-    private static void copy(Path from, Path to) throws IOException {
-        try (Stream<Path> all = Files.walk(from)) {
-            for (Path path : all.toList()) {
-                Path into = to.resolve(from.relativize(path).toString());
-                if (Files.isDirectory(path)) {
-                    Files.createDirectories(into);
-                } else {
-                    Files.copy(path, into);
-                }
-            }
-        }
-    }
-
     private static long size(Path folder) throws IOException {
         try (Stream<Path> all = Files.walk(folder)) {
             long size = 0;
--- a/src/main/java/larchridge/store/Store.java
+++ b/src/main/java/larchridge/store/Store.java
@@ -452,6 +452,20 @@
         sync(to);
     }
 
+    /** Copies a store that lies still, or lies as a kill would leave it, to a folder that is not there yet. */
+    public static void copyFolder(Path from, Path to) throws IOException {
+        try (Stream<Path> all = Files.walk(from)) {
+            for (Path path : all.toList()) {
+                Path into = to.resolve(from.relativize(path).toString());
+                if (Files.isDirectory(path)) {
+                    Files.createDirectories(into);
+                } else {
+                    Files.copy(path, into);
+                }
+            }
+        }
+    }
+
     /** Links where the file system can, copies elsewhere. */
     static void copy(Path from, Path to) throws IOException {
         Files.createDirectories(to.getParent());
--- a/src/main/java/larchridge/virtual/Day.java
+++ b/src/main/java/larchridge/virtual/Day.java
@@ -146,24 +146,8 @@
     }
 
     private Session session() {
-        double draw = random.nextDouble() * script.products().stream().mapToDouble(Script.Mix::share).sum();
-        Script.Mix mix = script.products().get(0);
-        for (Script.Mix one : script.products()) {
-            mix = one;
-            draw -= one.share();
-            if (draw <= 0) {
-                break;
-            }
-        }
-        Script.Tenant tenant = script.tenants().get(0);
-        double whose = random.nextDouble() * script.tenants().stream().mapToDouble(Script.Tenant::share).sum();
-        for (Script.Tenant one : script.tenants()) {
-            tenant = one;
-            whose -= one.share();
-            if (whose <= 0) {
-                break;
-            }
-        }
+        Script.Mix mix = script.anyMix(random);
+        Script.Tenant tenant = script.anyTenant(random);
         if (random.nextDouble() < 1 - 1 / mix.turns()) {
             for (int i = 0; i < sessions.size(); i++) {
                 Session one = sessions.get(i);
