A line's bytes are read once, a page of batches asks its loop once each, dead accessors go

Cause: on a last reading each line of a batch was read from its file twice before it first went out, with a new buffer each time; a list of N files asked the store's loop N times, of N batches 2 N times; the emulator had accessors nobody called. Change: the bytes that were read go with the line until it is sent, and are read again only for a line that goes again; records of files are read where they are asked for, a batch is read and worded in one question.

--- a/src/main/java/larchridge/batch/BatchDoor.java
+++ b/src/main/java/larchridge/batch/BatchDoor.java
@@ -112,7 +112,7 @@
         } else if (what.equals("batches") && id == null && get) {
             list(request, response, tenant, 'b', 100);
         } else if (what.equals("batches") && part == null && get) {
-            answer(response, batchJson(batch(id, tenant)));
+            answer(response, batchJson(id, tenant));
         } else if (what.equals("batches") && "cancel".equals(part) && post) {
             cancel(response, batch(id, tenant));
         } else if (what.equals("files") || what.equals("batches")) {
@@ -166,7 +166,8 @@
     }
 
     private FileForm file(String id, Site.Tenant tenant) throws Refusal, IOException {
-        FileForm file = onLoop(batches -> service.store().file(id));
+        // Records of files are read here: only what changes them, and batches that are under way, belong to the loop.
+        FileForm file = service.store().file(id);
         if (file == null || !file.getTenant().equals(tenant.name())) {
             throw Refusal.notFound("file: " + id);
         }
@@ -214,16 +215,16 @@
             throw Refusal.invalid("completion_window", "'" + window + "' is not a time like 24h, 30d at most");
         }
         Map<String, String> metadata = metadata(body.path("metadata"));
-        answer(response, batchJson(onLoop(batches -> {
+        answer(response, onLoop(batches -> {
             // Danger: between the look and this the file could have been deleted.
             if (service.store().file(input.getId()) == null) {
                 throw Refusal.notFound("file: " + input.getId());
             }
             long now = (long) service.nowMs();
-            return batches.make(BatchForm.newBuilder().setTenant(tenant.name()).setInput(input.getId())
+            return json(batches, batches.make(BatchForm.newBuilder().setTenant(tenant.name()).setInput(input.getId())
                     .setEndpoint(endpoint).setWindow(window).setCreatedMs(now).setExpiresMs(now + windowMs)
-                    .putAllMetadata(metadata));
-        })));
+                    .putAllMetadata(metadata)));
+        }));
     }
 
     private static Map<String, String> metadata(JsonNode node) throws Refusal {
@@ -244,7 +245,11 @@
     }
 
     private BatchForm batch(String id, Site.Tenant tenant) throws Refusal, IOException {
-        BatchForm batch = onLoop(batches -> batches.batch(id));
+        return onLoop(batches -> own(batches, id, tenant));
+    }
+
+    private static BatchForm own(Batches batches, String id, Site.Tenant tenant) throws Refusal, IOException {
+        BatchForm batch = batches.batch(id);
         if (batch == null || !batch.getTenant().equals(tenant.name())) {
             throw Refusal.notFound("batch: " + id);
         }
@@ -252,11 +257,14 @@
     }
 
     private void cancel(Response response, BatchForm batch) throws Refusal, IOException {
-        BatchForm now = onLoop(batches -> batches.cancel(batch.getId()));
+        ObjectNode now = onLoop(batches -> {
+            BatchForm cancelled = batches.cancel(batch.getId());
+            return cancelled == null ? null : json(batches, cancelled);
+        });
         if (now == null) {
             throw Refusal.conflict("a batch that is " + word(batch.getState()) + " can't be cancelled");
         }
-        answer(response, batchJson(now));
+        answer(response, now);
     }
 
     /** A page of files or batches, newest first; after names the last one of the page before. */
@@ -275,11 +283,11 @@
         String purpose = query.getValue("purpose");
         long from = after == null ? -1 : kind == 'f' ? file(after, tenant).getNumber() : batch(after, tenant).getNumber();
         ArrayNode data = MAPPER.createArrayNode();
-        List<String> ids = onLoop(batches -> service.store().page(tenant.name(), kind, from, items + 1));
+        List<String> ids = service.store().page(tenant.name(), kind, from, items + 1);
         for (String id : ids.subList(0, Math.min(items, ids.size()))) {
-            FileForm file = kind == 'f' ? onLoop(batches -> service.store().file(id)) : null;
+            FileForm file = kind == 'f' ? service.store().file(id) : null;
             if (kind == 'b') {
-                data.add(batchJson(onLoop(batches -> batches.batch(id))));
+                data.add(batchJson(id, tenant));
             } else if (file != null && (purpose == null || purpose.equals(file.getPurpose()))) {
                 data.add(fileJson(file));
             }
@@ -299,7 +307,12 @@
                 .put("purpose", file.getPurpose()).put("status", "processed");
     }
 
-    private ObjectNode batchJson(BatchForm batch) throws Refusal, IOException {
+    /** A batch of this tenant as it is now, in one question to the loop. */
+    private ObjectNode batchJson(String id, Site.Tenant tenant) throws Refusal, IOException {
+        return onLoop(batches -> json(batches, own(batches, id, tenant)));
+    }
+
+    private static ObjectNode json(Batches batches, BatchForm batch) {
         ObjectNode json = MAPPER.createObjectNode().put("id", batch.getId()).put("object", "batch")
                 .put("endpoint", batch.getEndpoint()).put("input_file_id", batch.getInput())
                 .put("completion_window", batch.getWindow()).put("status", word(batch.getState()))
@@ -334,8 +347,7 @@
         ObjectNode metadata = json.putObject("metadata");
         new TreeMap<>(batch.getMetadataMap()).forEach(metadata::put);
         // Beside the specification: told as soon as it is foreseen, not at the window's end.
-        boolean atRisk = onLoop(batches -> batches.isAtRisk(batch.getId()));
-        return json.put("window_at_risk", atRisk);
+        return json.put("window_at_risk", batches.isAtRisk(batch.getId()));
     }
 
     private static void time(ObjectNode json, String field, long ms) {
--- a/src/main/java/larchridge/batch/Batches.java
+++ b/src/main/java/larchridge/batch/Batches.java
@@ -111,6 +111,8 @@
     private static final class Trip {
         final Job job;
         final Lines.Line line;
+        /** What it says, until it goes out for the first time; one that goes again is read again. */
+        byte[] bytes;
         int attempts;
         int refusals;
         /** Whether it was out when the owner before ended. */
@@ -417,6 +419,7 @@
             job.read.add(place);
             if (!job.resumed || !store.isAnswered(job.id(), line.number())) {
                 Trip trip = new Trip(job, place);
+                trip.bytes = line.bytes();
                 trip.attempts = job.resumed ? store.attempts(job.id(), line.number()) : 0;
                 trip.unsure = trip.attempts > 0;
                 return trip;
@@ -432,7 +435,9 @@
         String endpoint = job.form.getEndpoint();
         InputCheck.Call call;
         try {
-            call = check.read(Lines.again(job.input, trip.line, terms.lineBytes), endpoint);
+            byte[] bytes = trip.bytes != null ? trip.bytes : Lines.again(job.input, trip.line, terms.lineBytes);
+            trip.bytes = null;
+            call = check.read(bytes, endpoint);
         } catch (InputCheck.BadLine e) {
             record(trip, false, Wording.error(lineId, "", "input_damaged", "The line was good and is no longer: "
                     + e.getMessage()));
--- a/src/main/java/larchridge/emulator/EngineModel.java
+++ b/src/main/java/larchridge/emulator/EngineModel.java
@@ -38,7 +38,6 @@
     private final Map<String, Job> held = new LinkedHashMap<>();
     private boolean inStep;
     private double startedMs;
-    private double stepToks;
     // Ailments.
     private double slowness = 1;
     private int stallsAbove = Integer.MAX_VALUE;
@@ -184,7 +183,6 @@
         }
         inStep = true;
         steps++;
-        stepToks = answers + prompts;
         double ms = silicon.stepMs() + silicon.promptTokMs() * prompts + silicon.seqMs() * answers
                 + silicon.contextTokMs() * context + silicon.lookBackMs() * lookBack;
         return ms * slowness * (running.size() > stallsAbove ? stall : 1) / capacity(nowMs);
@@ -307,10 +305,6 @@
         return waiting.size();
     }
 
-    public int inWork() {
-        return running.size();
-    }
-
     /** Share of memory that somebody refers to. */
     public double heldShare() {
         return memory.used() / (double) memory.total();
@@ -328,10 +322,6 @@
         return toks;
     }
 
-    public double capacityToks() {
-        return (double) silicon.blocks() * silicon.blockToks();
-    }
-
     /** What it has done so far. */
     public record Sums(long promptToksIn, long promptToksRead, long promptToksKept, long toksOut, long toksLost,
                        long preemptions, long evictions, long steps) { }
@@ -339,9 +329,4 @@
     public Sums sums() {
         return new Sums(promptToksIn, promptToksRead, promptToksKept, toksOut, toksLost, preemptions, memory.evicted(), steps);
     }
-
-    /** Tokens that the step under way works on. */
-    public double stepToks() {
-        return stepToks;
-    }
 }
--- a/src/main/java/larchridge/emulator/Silicon.java
+++ b/src/main/java/larchridge/emulator/Silicon.java
@@ -17,12 +17,6 @@
 public record Silicon(double stepMs, double promptTokMs, double seqMs, double contextTokMs, double lookBackMs, int blockToks,
                       int blocks, int batchToks, int seqs, int queue, double lapseMs, double coldShare, double coldMs,
                       boolean evictsHeld) {
-    /** The same engine, so many times as fast. */
-    public Silicon scaled(double factor) {
-        return new Silicon(stepMs / factor, promptTokMs / factor, seqMs / factor, contextTokMs / factor, lookBackMs / factor,
-                blockToks, blocks, batchToks, seqs, queue, lapseMs, coldShare, coldMs, evictsHeld);
-    }
-
     /** The same with another size of chunks. */
     public Silicon withBatchToks(int toks) {
         return new Silicon(stepMs, promptTokMs, seqMs, contextTokMs, lookBackMs, blockToks, blocks, toks, seqs, queue, lapseMs,
--- a/src/test/java/larchridge/batch/BatchStage.java
+++ b/src/test/java/larchridge/batch/BatchStage.java
@@ -45,7 +45,6 @@
     Store store;
     Batches batches;
     Points points = Points.NONE;
-    int most = 1000;
     int out;
     int mostOut;
 
