--- a/src/main/java/larchridge/benchlink/Instance.java
+++ b/src/main/java/larchridge/benchlink/Instance.java
@@ -1,5 +1,7 @@
 package larchridge.benchlink;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -18,14 +20,18 @@
 import larchridge.state.Role;
 import larchridge.state.Text;
 import larchridge.state.Texts;
+import larchridge.terms.BadTerms;
+import larchridge.terms.Given;
 
 /** One front: its ids, its decision module, and the lines between the two. */
 final class Instance implements Host {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
     private final long who;
     private final Link.Reply reply;
 
     private double nowMs;
-    private EnvReader env;
+    private Given env;
     private Choice choice;
     private final Map<String, Gen> gens = new HashMap<>();
     private final Map<Long, Engine> engines = new HashMap<>();
@@ -41,7 +47,7 @@
         nowMs = now;
         if (line.is("ENLIST")) {
             tearDown();
-            env = new EnvReader(line);
+            env = settings(line);
             guarded(() -> choice = new Choice(env.terms, this));
             return;
         }
@@ -64,6 +70,16 @@
         }
     }
 
+    private static Given settings(Line line) throws BadLine {
+        try {
+            return Given.read(MAPPER.readTree(line.rest("env")), line.whole("seed"));
+        } catch (JsonProcessingException e) {
+            throw line.bad("member env is broken JSON; expected an object (" + e.getOriginalMessage() + ")");
+        } catch (BadTerms e) {
+            throw line.bad("member env: " + e.getMessage());
+        }
+    }
+
     private void tearDown() {
         choice = null;
         gens.clear();
--- a/src/main/java/larchridge/cli/Main.java
+++ b/src/main/java/larchridge/cli/Main.java
@@ -1,6 +1,7 @@
 package larchridge.cli;
 
 import java.util.concurrent.Callable;
+import larchridge.node.Node;
 import picocli.AutoComplete;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -14,7 +15,7 @@
             DrillCommand.class, PumpCommand.class, SoakCommand.class, ExperimentCommand.class,
             SearchCommand.class, BillCommand.class, LedgerCommand.class,
             StoreCommand.class, KillsCommand.class,
-            BenchlinkCommand.class, AutoComplete.GenerateCompletion.class})
+            BenchlinkCommand.class, NodeCommand.class, AutoComplete.GenerateCompletion.class})
 public final class Main implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
@@ -24,6 +25,10 @@
             // The bench counts an adapter's start; nothing else is loaded for it.
             System.exit(BenchlinkCommand.run(System.in, System.out));
         }
+        if (args.length == 1 && args[0].equals("node")) {
+            // A node's memory and start are counted too.
+            System.exit(Node.run(System.getenv(), System.err));
+        }
         int code = new CommandLine(new Main()).setCaseInsensitiveEnumValuesAllowed(true).execute(args);
         System.exit(code);
     }
--- a/src/main/java/larchridge/enginelink/Hearing.java
+++ b/src/main/java/larchridge/enginelink/Hearing.java
@@ -14,6 +14,11 @@
     /** A piece of the answer. */
     void piece(String text);
 
+    /** Whole events of the answer that go on as they came; only from links that pass requests on. */
+    default void events(byte[] whole) {
+        throw new UnsupportedOperationException("nobody here passes events on");
+    }
+
     /** All that came in one go is told; what was gathered of it may go on now, in one write. */
     void soFar();
 
--- a/src/main/java/larchridge/enginelink/Order.java
+++ b/src/main/java/larchridge/enginelink/Order.java
@@ -10,10 +10,12 @@
  * @param spot      where the engine listens
  * @param state     the read state to fetch, or null to read in place (or to read only)
  * @param repeatKey what engines drop repeats by, or null
+ * @param passage   what goes on as it came, or null
  * @param stillMay  asked at the last moment before the leg is written; false keeps it from being sent
  */
 public record Order(String rid, Spot spot, String model, String prompt, int maxToks, List<String> stops,
-                    Sampling sampling, StateHandle state, String repeatKey, BooleanSupplier stillMay) {
+                    Sampling sampling, StateHandle state, String repeatKey, Passage passage,
+                    BooleanSupplier stillMay) {
 
     /** How tokens are drawn; null leaves a figure to the engine. */
     public record Sampling(Double temperature, Double topP, Integer topK) { }
--- /dev/null
+++ b/src/main/java/larchridge/enginelink/Passage.java
@@ -0,0 +1,13 @@
+package larchridge.enginelink;
+
+/**
+ * A request that goes on to engines as it came, where clients and engines speak one protocol: what must stay
+ * unchanged of it, with the client's own name for it.
+ *
+ * @param method  HTTP method
+ * @param target  path and query
+ * @param id      the client's id of the request
+ * @param body    the body's bytes, never changed
+ * @param limitMs when nobody waits for its first token any more, in the front's clock
+ */
+public record Passage(String method, String target, String id, byte[] body, double limitMs) { }
--- a/src/main/java/larchridge/front/Ask.java
+++ b/src/main/java/larchridge/front/Ask.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.IntConsumer;
 import larchridge.enginelink.Order;
+import larchridge.enginelink.Passage;
 import larchridge.site.Offer;
 import larchridge.site.Site;
 
@@ -20,8 +21,28 @@
  * @param repeatKey  the client's key of a deduplicated generation, or null
  * @param waitedMs   how long its body has waited to be read and counted
  * @param reported   told on the front's loop what an engine reports of the prompt's length
+ * @param passage    what goes on to engines as it came, or null where the link words its own requests; the generation
+ *                   then bears the client's id
  */
 public record Ask(Offer offer, Site.Tenant tenant, String model, String prompt, int promptToks, int sharedToks,
                   int maxToks, List<String> stops, Order.Sampling sampling, String prefix, String opening,
                   String talkBefore, String talkNow, boolean whole, boolean resent, double patienceMs,
-                  String repeatKey, double waitedMs, IntConsumer reported) { }
+                  String repeatKey, double waitedMs, IntConsumer reported, Passage passage) {
+
+    /** Of a dialect whose requests are worded anew for engines. */
+    public Ask(Offer offer, Site.Tenant tenant, String model, String prompt, int promptToks, int sharedToks,
+               int maxToks, List<String> stops, Order.Sampling sampling, String prefix, String opening,
+               String talkBefore, String talkNow, boolean whole, boolean resent, double patienceMs,
+               String repeatKey, double waitedMs, IntConsumer reported) {
+        this(offer, tenant, model, prompt, promptToks, sharedToks, maxToks, stops, sampling, prefix, opening,
+                talkBefore, talkNow, whole, resent, patienceMs, repeatKey, waitedMs, reported, null);
+    }
+
+    /** Of a request that goes on as it came; a session and a prefix by the client's own names, either may be null. */
+    public static Ask passing(Offer offer, Site.Tenant tenant, Passage passage, int promptToks, int sharedToks,
+                              int maxToks, String prefix, String session, boolean resent, double patienceMs,
+                              double waitedMs) {
+        return new Ask(offer, tenant, "", "", promptToks, sharedToks, maxToks, List.of(), null, prefix, session,
+                null, session, false, resent, patienceMs, null, waitedMs, toks -> { }, passage);
+    }
+}
--- a/src/main/java/larchridge/front/Client.java
+++ b/src/main/java/larchridge/front/Client.java
@@ -11,6 +11,11 @@
     /** A piece of the answer, to be kept until {@link #soFar} or a final answer; false if it can't go to the client. */
     boolean piece(String text);
 
+    /** Whole events that go on as they came, to be kept like pieces; only to clients whose requests were passed on. */
+    default void events(byte[] whole) {
+        throw new UnsupportedOperationException("events are not this dialect's");
+    }
+
     /** Pieces that are kept and have not gone out. */
     int gathered();
 
--- a/src/main/java/larchridge/front/Front.java
+++ b/src/main/java/larchridge/front/Front.java
@@ -201,7 +201,8 @@
         one.limitAtMs = arrivedMs + patience.firstTokMs;
         one.wholeAtMs = arrivedMs + patience.wholeMs;
         one.charge = budget.charge();
-        one.gen = new Gen(idStem + Long.toString(taken++, 36),
+        String label = ask.passage() != null ? ask.passage().id() : idStem + Long.toString(taken++, 36);
+        one.gen = new Gen(label,
                 budget.charge().isBorrowed() ? ask.offer().borrowed : ask.offer().product, account(ask.tenant()),
                 talk(ask), prefix(ask), ask.promptToks(), ask.sharedToks(), ask.maxToks(), Double.NaN,
                 ask.resent(), arrivedMs, one.limitAtMs);
@@ -346,7 +347,7 @@
         one.trips.add(trip);
         Ask ask = one.ask;
         Order order = new Order(trip.rid, spot, ask.model(), ask.prompt(), ask.maxToks(), ask.stops(),
-                ask.sampling(), source == null ? null : source.state, repeatKey(one),
+                ask.sampling(), source == null ? null : source.state, repeatKey(one), ask.passage(),
                 () -> leg.engine.mode == Mode.READY && !one.duty.isDone());
         Ears ears = new Ears(one, trip);
         trip.holds = leg.read;
@@ -550,6 +551,15 @@
             }
         }
 
+        @Override
+        public void events(byte[] whole) {
+            if (one.streaming == trip && !one.duty.isDone()) {
+                tick();
+                one.lastPieceMs = nowMs;
+                one.client.events(whole);
+            }
+        }
+
         @Override
         public void soFar() {
             if (one.streaming == trip && !one.duty.isDone()) {
--- /dev/null
+++ b/src/main/java/larchridge/node/LoopGround.java
@@ -0,0 +1,74 @@
+package larchridge.node;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import larchridge.front.Ground;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The node's one event loop as a front's ground. */
+final class LoopGround implements Ground {
+    private static final Logger LOG = LoggerFactory.getLogger(LoopGround.class);
+
+    private final EventLoop loop;
+    private final String stem;
+    private final double clockBaseMs = System.currentTimeMillis() - System.nanoTime() / 1e6;
+    private final Map<Long, Future<?>> timers = new HashMap<>();
+    private long last;
+
+    /** On this loop; stem is the part of names that no other start of any node has. */
+    LoopGround(EventLoop loop, String stem) {
+        this.loop = loop;
+        this.stem = stem;
+    }
+
+    @Override
+    public double nowMs() {
+        return clockBaseMs + System.nanoTime() / 1e6;
+    }
+
+    @Override
+    public long in(double ms, Runnable step) {
+        long number = ++last;
+        timers.put(number, loop.schedule(() -> {
+            timers.remove(number);
+            safely(step);
+        }, (long) (Math.max(1, ms) * 1e6), TimeUnit.NANOSECONDS));
+        return number;
+    }
+
+    @Override
+    public void cancel(long number) {
+        Future<?> timer = timers.remove(number);
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+
+    @Override
+    public void later(Runnable step) {
+        loop.execute(() -> safely(step));
+    }
+
+    @Override
+    public void every(double ms, Runnable step) {
+        loop.scheduleAtFixedRate(() -> safely(step), (long) (ms * 1e6), (long) (ms * 1e6), TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public String stem() {
+        return stem;
+    }
+
+    /** Danger: a step that throws would end its timer for good, and an error of memory the process's work. */
+    private static void safely(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | OutOfMemoryError e) {
+            LOG.error("a step on the loop failed", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/node/Node.java
@@ -0,0 +1,194 @@
+package larchridge.node;
+
+import io.micrometer.core.instrument.composite.CompositeMeterRegistry;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import larchridge.enginelink.Spot;
+import larchridge.front.Decider;
+import larchridge.front.Front;
+import larchridge.inventory.Row;
+import larchridge.metrics.Meters;
+import larchridge.node.discovery.Agent;
+import larchridge.node.discovery.EndpointReader;
+import larchridge.node.door.Door;
+import larchridge.node.door.DoorBounds;
+import larchridge.node.link.LinkBounds;
+import larchridge.node.link.PassageLink;
+import larchridge.site.Offer;
+import larchridge.site.Site;
+import larchridge.state.Product;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sun.misc.Signal;
+
+/**
+ * One front as a node of a platform: puts the clients' side, the engines' side and the engine list together on one loop,
+ * and answers the platform's signals.
+ */
+public final class Node {
+    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+    /** Parts of the descriptors that connections of clients and to engines may take; the rest is kept back. */
+    private static final double CLIENTS_PART = 0.42;
+    private static final double ENGINES_PART = 0.45;
+    private static final int BODY_BYTES = 256 << 10;
+    /** The part of the memory that bodies may take, and what is reckoned for one open generation beside. */
+    private static final double BODIES_PART = 0.08;
+    private static final int OPEN_BYTES = 16 << 10;
+    private static final double REQUEST_MS = 2000;
+    /** Nobody is left waiting on a stream for longer, though the platform allows a little more. */
+    private static final double QUIET_MS = 4500;
+    private static final double SLOW_CLIENT_MS = 4500;
+    /** For so long after the word to end, clients may still come. */
+    private static final double COMING_MS = 750;
+
+    private final Map<String, String> variables;
+    private final NodeFile file;
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) group.next();
+    private final ByteBufAllocator buffers = new UnpooledByteBufAllocator(true);
+    private final LoopGround ground;
+    private PassageLink link;
+    private Front front;
+    private Door door;
+    private Agent agent;
+    private boolean ending;
+
+    private Node(Map<String, String> variables, NodeFile file) {
+        this.variables = variables;
+        this.file = file;
+        ground = new LoopGround(loop, file.name + Long.toString(file.seed & 0xFFFFFFFFFFL, 36) + "-");
+    }
+
+    /** Runs a node until it is told to end; gives the exit code. */
+    public static int run(Map<String, String> variables, PrintStream faults) {
+        try {
+            NodeFile file = NodeFile.read(variables);
+            file.check(variables);
+            Node node = new Node(variables, file);
+            Signal.handle(new Signal("TERM"), signal -> node.loop.execute(node::end));
+            Signal.handle(new Signal("HUP"), signal -> node.loop.execute(node::readAgain));
+            node.start();
+            node.ended.await();
+            node.group.shutdownGracefully(0, 500, java.util.concurrent.TimeUnit.MILLISECONDS).await(1000);
+            return 0;
+        } catch (BadNode e) {
+            faults.println("larchridge: " + e.getMessage());
+            return 1;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return 1;
+        }
+    }
+
+    private void start() throws BadNode, InterruptedException {
+        loop.submit(this::build).await();
+        if (door == null) {
+            throw new BadNode("the node could not be built; the log has the cause");
+        }
+        try {
+            door.listen(file.listen.host(), file.listen.port());
+        } catch (RuntimeException e) {
+            throw new BadNode("listen: " + file.listen + " can't be had (" + e.getMessage() + ")");
+        }
+        loop.execute(door::ready);
+        LOG.atInfo().addKeyValue("name", file.name).addKeyValue("listen", file.listen).log("serving");
+    }
+
+    private void build() {
+        try {
+            Site site = Site.plain(file.given.terms);
+            long heap = Runtime.getRuntime().maxMemory();
+            long bodies = (long) (Math.min(heap, file.memoryMb * 1048576.0) * BODIES_PART);
+            site.releaseMs = file.given.releaseMs;
+            site.drainGraceMs = file.given.drainGraceMs;
+            site.limit.openGenerations = (int) Math.max(16, bodies / OPEN_BYTES);
+            site.limit.slowClientMs = SLOW_CLIENT_MS;
+            site.limit.quietStreamMs = QUIET_MS;
+            site.limit.stopMs = 10 * longestPatienceMs();
+            link = new PassageLink(loop, ground, buffers, new LinkBounds(file.given.connectMs, file.given.keepAliveMs,
+                    file.given.releaseMs, (int) (file.sockets * ENGINES_PART), (int) (file.sockets * ENGINES_PART / 2),
+                    file.given.reportFields));
+            front = new Front(ground, site, 0, link, new Meters(new CompositeMeterRegistry()), Decider::choice);
+            door = new Door(group, buffers, ground, front, site, offers(), new DoorBounds(
+                    (int) (file.sockets * CLIENTS_PART), BODY_BYTES, bodies, REQUEST_MS, file.given.keepAliveMs));
+            EndpointReader reader = new EndpointReader(file.given.roles, file.given.memory);
+            agent = new Agent(loop, buffers, ground, reader, this::listed);
+            if (file.known.isObject()) {
+                try {
+                    agent.take(reader.read(file.known));
+                } catch (EndpointReader.BadList e) {
+                    LOG.atWarn().addKeyValue("fault", e.getMessage()).log("known can't be read; discovery is waited for");
+                }
+            }
+            agent.follow(file.discovery.host(), file.discovery.port());
+        } catch (RuntimeException e) {
+            LOG.error("the node could not be built", e);
+            door = null;
+        }
+    }
+
+    private double longestPatienceMs() {
+        return file.given.patienceMs.values().stream().mapToDouble(ms -> ms).max().orElse(0);
+    }
+
+    private Map<String, Offer> offers() {
+        Map<String, Offer> offers = new LinkedHashMap<>();
+        for (Product product : file.given.products.values()) {
+            // Each request brings its own time limit.
+            offers.put(product.name, new Offer(product, product, product.name, Double.POSITIVE_INFINITY, 0,
+                    Integer.MAX_VALUE, null));
+        }
+        return offers;
+    }
+
+    private void listed(List<Row> rows) {
+        List<Spot> spots = new ArrayList<>();
+        rows.forEach(row -> spots.add(new Spot(row.host(), row.port())));
+        link.engines(spots);
+        front.listed(rows);
+    }
+
+    // ------------------------------------------------------------------ signals
+
+    /** A new configuration: where discovery is may have changed. What can't be read changes nothing. */
+    private void readAgain() {
+        try {
+            NodeFile changed = NodeFile.read(variables);
+            LOG.atInfo().addKeyValue("discovery", changed.discovery).log("configuration read again");
+            agent.follow(changed.discovery.host(), changed.discovery.port());
+        } catch (BadNode e) {
+            LOG.atError().addKeyValue("fault", e.getMessage()).log("the new configuration can't be used; all stays as it was");
+        }
+    }
+
+    /**
+     * The end in peace: says at once that it is leaving, takes what still comes for a while, answers all of it, lets go of
+     * what is held, and ends.
+     */
+    private void end() {
+        if (ending || door == null) {
+            return;
+        }
+        ending = true;
+        LOG.info("ending");
+        door.close();
+        ground.in(COMING_MS, () -> {
+            door.shut();
+            door.close();
+            front.stop(() -> {
+                agent.stop();
+                ended.countDown();
+            });
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/node/NodeFile.java
@@ -0,0 +1,121 @@
+package larchridge.node;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import larchridge.enginelink.Spot;
+import larchridge.terms.BadTerms;
+import larchridge.terms.Given;
+
+/** What the platform tells a node when it starts: a file of JSON, and variables that must say the same. */
+final class NodeFile {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    final String name;
+    final Spot listen;
+    final Spot discovery;
+    final long seed;
+    final int memoryMb;
+    final int sockets;
+    /** The list of engines as it was kept, in discovery's form; missing where there is none. */
+    final JsonNode known;
+    final Given given;
+
+    private NodeFile(Path file, JsonNode root) throws BadNode {
+        name = text(file, root, "name");
+        listen = spot(file, root, "listen");
+        discovery = spot(file, root, "discovery");
+        seed = seed(file, root);
+        JsonNode limits = root.path("limits");
+        memoryMb = whole(file, limits, "memory_mb");
+        sockets = whole(file, limits, "sockets");
+        known = root.path("known");
+        try {
+            given = Given.read(root.path("settings"), seed);
+        } catch (BadTerms e) {
+            throw new BadNode(file + ": settings: " + e.getMessage());
+        }
+    }
+
+    static NodeFile read(Map<String, String> variables) throws BadNode {
+        String place = variables.get("PROXY_CONFIG");
+        if (place == null || place.isEmpty()) {
+            throw new BadNode("PROXY_CONFIG is not set; expected the path of the configuration");
+        }
+        Path file = Path.of(place);
+        JsonNode root;
+        try {
+            root = MAPPER.readTree(Files.readAllBytes(file));
+        } catch (JsonProcessingException e) {
+            throw new BadNode(file + ":" + e.getLocation().getLineNr() + ": broken JSON (" + e.getOriginalMessage() + ")");
+        } catch (IOException e) {
+            throw new BadNode(file + ": can't be read (" + e.getMessage() + ")");
+        }
+        if (root == null || !root.isObject()) {
+            throw new BadNode(file + ": expected an object");
+        }
+        return new NodeFile(file, root);
+    }
+
+    /** The variables are given beside the file; where they differ, one of the two is wrong. */
+    void check(Map<String, String> variables) throws BadNode {
+        same(variables, "PROXY_NAME", name);
+        same(variables, "PROXY_LISTEN", listen.toString());
+        same(variables, "PROXY_DISCOVERY", discovery.toString());
+    }
+
+    private static void same(Map<String, String> variables, String variable, String value) throws BadNode {
+        String given = variables.get(variable);
+        if (given != null && !given.equals(value)) {
+            throw new BadNode(variable + " is '" + given + "', but the configuration says '" + value + "'");
+        }
+    }
+
+    private static String text(Path file, JsonNode node, String member) throws BadNode {
+        JsonNode value = node.path(member);
+        if (!value.isTextual() || value.asText().isEmpty()) {
+            throw new BadNode(file + ": " + member + " is " + (value.isMissingNode() ? "missing" : value)
+                    + "; expected a text");
+        }
+        return value.asText();
+    }
+
+    private static int whole(Path file, JsonNode limits, String member) throws BadNode {
+        JsonNode value = limits.path(member);
+        if (!value.isNumber() || value.doubleValue() < 1 || value.doubleValue() > 1e9) {
+            throw new BadNode(file + ": limits." + member + " is " + (value.isMissingNode() ? "missing" : value)
+                    + "; expected a number over 0");
+        }
+        return value.intValue();
+    }
+
+    private static Spot spot(Path file, JsonNode root, String member) throws BadNode {
+        String text = text(file, root, member);
+        int colon = text.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (colon > 0 && port >= 0 && port < 65536) {
+                return new Spot(text.substring(0, colon), port);
+            }
+        } catch (NumberFormatException e) {
+            // Told below, as any other fault of it.
+        }
+        throw new BadNode(file + ": " + member + " is '" + text + "'; expected host:port");
+    }
+
+    private static long seed(Path file, JsonNode root) throws BadNode {
+        JsonNode value = root.path("seed");
+        if (value.isIntegralNumber()) {
+            return value.longValue();
+        }
+        try {
+            return Long.parseUnsignedLong(text(file, root, "seed"), 16);
+        } catch (NumberFormatException e) {
+            throw new BadNode(file + ": seed is '" + value.asText() + "'; expected up to 16 hex digits");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/node/discovery/Agent.java
@@ -0,0 +1,226 @@
+package larchridge.node.discovery;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import larchridge.front.Ground;
+import larchridge.inventory.Row;
+import larchridge.state.Mode;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The engine list as discovery's agent tells it: first the whole list, then watches, one directly behind the other. The
+ * list that was told last stays while the agent is silent or what it says can't be read. All methods run on the loop.
+ */
+public final class Agent {
+    private static final Logger LOG = LoggerFactory.getLogger(Agent.class);
+    private static final int LIST_BYTES = 4 << 20;
+    /** A watch waits so long; whatever is told counts as told soon after that, so it is short. */
+    private static final int WAIT_MS = 4000;
+    private static final double SILENT_MS = 1500;
+    private static final double AGAIN_FIRST_MS = 50;
+    private static final double AGAIN_MOST_MS = 500;
+
+    private final EventLoop loop;
+    private final ByteBufAllocator buffers;
+    private final Ground ground;
+    private final EndpointReader reader;
+    private final Consumer<List<Row>> told;
+    private final Map<String, Row> rows = new LinkedHashMap<>();
+    private String host;
+    private int port;
+    private Conversation now;
+    private long index;
+    /** Whether the next call asks for the whole list. */
+    private boolean whole = true;
+    private double againMs = AGAIN_FIRST_MS;
+
+    /** Told is given the complete list after each change. */
+    public Agent(EventLoop loop, ByteBufAllocator buffers, Ground ground, EndpointReader reader,
+                 Consumer<List<Row>> told) {
+        this.loop = loop;
+        this.buffers = buffers;
+        this.ground = ground;
+        this.reader = reader;
+        this.told = told;
+    }
+
+    /** Takes a list that was kept, and what comes on a watch. */
+    public void take(EndpointReader.Told list) {
+        if (list.whole()) {
+            rows.clear();
+        }
+        list.rows().forEach((name, row) -> {
+            if (row.mode() == Mode.GONE) {
+                rows.remove(name);
+            } else {
+                rows.put(name, row);
+            }
+        });
+        index = list.index();
+        if (list.whole() || !list.rows().isEmpty()) {
+            told.accept(new ArrayList<>(rows.values()));
+        }
+    }
+
+    /** Asks there from now on, at once and for the whole list. */
+    public void follow(String toHost, int toPort) {
+        host = toHost;
+        port = toPort;
+        whole = true;
+        againMs = AGAIN_FIRST_MS;
+        if (now != null) {
+            now.leave();
+        }
+        talk();
+    }
+
+    public void stop() {
+        if (now != null) {
+            now.leave();
+            now = null;
+        }
+    }
+
+    private void talk() {
+        now = new Conversation();
+        now.open();
+    }
+
+    /** One connection to the agent. */
+    private final class Conversation extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private Channel channel;
+        private boolean left;
+        private long timer = -1;
+
+        void open() {
+            ChannelFuture opening = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                    .option(ChannelOption.ALLOCATOR, buffers).option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) SILENT_MS)
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel own) {
+                            own.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LIST_BYTES),
+                                    Conversation.this);
+                        }
+                    }).connect(host, port);
+            channel = opening.channel();
+            opening.addListener(done -> {
+                if (done.isSuccess() && !left) {
+                    ask();
+                } else {
+                    failed("no connection");
+                }
+            });
+        }
+
+        private void ask() {
+            String target = whole ? "/discovery/hosts" : "/discovery/hosts?after=" + index + "&wait_ms=" + WAIT_MS;
+            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, target,
+                    Unpooled.EMPTY_BUFFER);
+            request.headers().set(HttpHeaderNames.HOST, host + ":" + port);
+            channel.writeAndFlush(request);
+            timer = ground.in(SILENT_MS + (whole ? 0 : WAIT_MS), () -> {
+                timer = -1;
+                failed("silent");
+            });
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            if (left) {
+                return;
+            }
+            stopTimer();
+            if (response.decoderResult().isFailure() || response.status().code() != 200) {
+                failed("answer " + response.status().code());
+                return;
+            }
+            byte[] body = new byte[response.content().readableBytes()];
+            response.content().readBytes(body);
+            try {
+                EndpointReader.Told list = reader.read(body);
+                if (whole && !list.whole()) {
+                    failed("changes where the whole list was asked for");
+                    return;
+                }
+                take(list);
+                whole = false;
+                againMs = AGAIN_FIRST_MS;
+            } catch (EndpointReader.BadList e) {
+                LOG.atWarn().addKeyValue("fault", e.getMessage()).log("a list from discovery can't be read; the last one stays");
+                // Danger: what it would have changed is not known any more; only a whole list mends that.
+                whole = true;
+                failed("unreadable");
+                return;
+            }
+            if (HttpUtil.isKeepAlive(response)) {
+                ask();
+            } else {
+                failed("closed");
+            }
+        }
+
+        private void failed(String why) {
+            if (left) {
+                return;
+            }
+            leave();
+            LOG.atDebug().addKeyValue("why", why).log("discovery is asked again");
+            double wait = againMs;
+            againMs = Math.min(AGAIN_MOST_MS, 2 * againMs);
+            // Danger: a gap in the watch may hide changes; after one the whole list is asked for.
+            whole = true;
+            ground.in(wait, () -> {
+                if (now == this) {
+                    talk();
+                }
+            });
+        }
+
+        void leave() {
+            left = true;
+            stopTimer();
+            channel.close();
+        }
+
+        private void stopTimer() {
+            if (timer >= 0) {
+                ground.cancel(timer);
+                timer = -1;
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            failed("connection ended");
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            failed(String.valueOf(cause.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/node/door/Door.java
@@ -0,0 +1,185 @@
+package larchridge.node.door;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import larchridge.front.Front;
+import larchridge.front.Ground;
+import larchridge.site.Offer;
+import larchridge.site.Site;
+
+/**
+ * Clients' side of a node: the listener, its connections and their bounds. What one connection says is read by its
+ * {@link Guest}. All methods run on the loop.
+ */
+public final class Door {
+    private static final int IDS = 4096;
+    private static final double LOOK_MS = 200;
+
+    final Front front;
+    final Site site;
+    final Map<String, Offer> offers;
+    final DoorBounds bounds;
+    final Ground ground;
+    private final EventLoopGroup loop;
+    private final ByteBufAllocator buffers;
+    /** Connections without a request, longest first. */
+    private final Set<Guest> idle = new LinkedHashSet<>();
+    private final Set<Guest> all = new LinkedHashSet<>();
+    /** Ids of the generations that were taken last: none is taken twice. */
+    private final Map<String, Boolean> ids = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            // Ids of open generations are not let go of, however many come after them.
+            return size() > IDS && !eldest.getValue();
+        }
+    };
+    private Channel listener;
+    private long heldBytes;
+    private boolean ready;
+    private boolean closing;
+
+    public Door(EventLoopGroup loop, ByteBufAllocator buffers, Ground ground, Front front, Site site,
+                Map<String, Offer> offers, DoorBounds bounds) {
+        this.loop = loop;
+        this.buffers = buffers;
+        this.ground = ground;
+        this.front = front;
+        this.site = site;
+        this.offers = offers;
+        this.bounds = bounds;
+        ground.every(LOOK_MS, this::look);
+    }
+
+    /** Listens; fails if the address can't be had. Not to be called on the loop. */
+    public void listen(String host, int port) throws InterruptedException {
+        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.ALLOCATOR, buffers)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        Guest guest = new Guest(Door.this, channel);
+                        channel.pipeline().addLast(new StrictDecoder(), new HttpResponseEncoder(), guest);
+                        entered(guest);
+                    }
+                }).bind(host, port).sync().channel();
+    }
+
+    public int port() {
+        return ((java.net.InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    /** From now on the node says that it can serve. */
+    public void ready() {
+        ready = true;
+    }
+
+    boolean isReady() {
+        return ready && !closing;
+    }
+
+    /** Says that no more is wanted, still takes what comes, and keeps no connection without a request. */
+    public void close() {
+        closing = true;
+        for (Guest guest : List.copyOf(idle)) {
+            guest.leave();
+        }
+    }
+
+    boolean isClosing() {
+        return closing;
+    }
+
+    /** Takes no more connections. */
+    public void shut() {
+        if (listener != null) {
+            listener.close();
+        }
+    }
+
+    public int connections() {
+        return all.size();
+    }
+
+    // ------------------------------------------------------------------ connections
+
+    private void entered(Guest guest) {
+        all.add(guest);
+        idle.add(guest);
+        if (all.size() > bounds.connections()) {
+            // The one that has been without a request for longest makes room; it may be this one.
+            idle.iterator().next().leave();
+        }
+    }
+
+    void busy(Guest guest) {
+        idle.remove(guest);
+    }
+
+    void idle(Guest guest) {
+        if (all.contains(guest)) {
+            idle.add(guest);
+        }
+    }
+
+    void left(Guest guest) {
+        idle.remove(guest);
+        all.remove(guest);
+    }
+
+    private void look() {
+        double now = ground.nowMs();
+        for (Guest guest : List.copyOf(all)) {
+            guest.look(now);
+        }
+    }
+
+    // ------------------------------------------------------------------ bodies and ids
+
+    boolean mayHold(int bytes) {
+        return heldBytes + bytes <= bounds.heldBytes();
+    }
+
+    void holds(int bytes) {
+        heldBytes += bytes;
+    }
+
+    /** Notes an id as taken; false if it was taken lately or still is. */
+    boolean takeId(String id) {
+        if (ids.containsKey(id)) {
+            return false;
+        }
+        ids.put(id, true);
+        if (ids.size() > 2 * IDS) {
+            trim();
+        }
+        return true;
+    }
+
+    void endId(String id) {
+        ids.replace(id, false);
+    }
+
+    private void trim() {
+        Iterator<Boolean> values = ids.values().iterator();
+        while (ids.size() > IDS && values.hasNext()) {
+            if (!values.next()) {
+                values.remove();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/node/link/Call.java
@@ -0,0 +1,32 @@
+package larchridge.node.link;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+
+/** One request on a connection and what comes back; called on the loop, never from inside the call that started it. */
+interface Call {
+    /** The request as it goes out, worded at the last moment; null if it must not go any more. */
+    FullHttpRequest request();
+
+    /** Its last byte went to the socket. */
+    void written();
+
+    /** The head of the answer; false if it can't be used. */
+    boolean head(HttpResponse response);
+
+    /** Some of the answer's body; false if it can't be used. */
+    boolean body(ByteBuf some);
+
+    /** The answer's end; false if the connection must not be used again. */
+    boolean whole();
+
+    /** All of one read was told. */
+    void paused();
+
+    /** What came can't be read. The connection is closed by the one that tells. */
+    void garbled();
+
+    /** The connection broke, or never came up. The last call, as whole and garbled are. */
+    void broken();
+}
--- /dev/null
+++ b/src/main/java/larchridge/node/link/PassageLink.java
@@ -0,0 +1,617 @@
+package larchridge.node.link;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import larchridge.enginelink.Ending;
+import larchridge.enginelink.EngineLink;
+import larchridge.enginelink.Hearing;
+import larchridge.enginelink.Order;
+import larchridge.enginelink.Passage;
+import larchridge.enginelink.Spot;
+import larchridge.enginelink.StateHandle;
+import larchridge.front.Ground;
+import larchridge.state.Outcome;
+import larchridge.state.Report;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Engines that speak the clients' own protocol: requests go on as they came, events come back as they are. A read state
+ * belongs to the request's id at whichever engine, so that it is let go of once for all of a request's legs, and only
+ * while no leg may still fetch it. All methods run on the loop.
+ */
+public final class PassageLink implements EngineLink {
+    static final String ID = "Req-Id";
+    private static final String LEFT = "Req-Deadline-Ms";
+    private static final String LOAD = "Srv-Load";
+    private static final String DECLINED = "Srv-Declined";
+    private static final Logger LOG = LoggerFactory.getLogger(PassageLink.class);
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int EVENT_BYTES = 1 << 16;
+    private static final int HEAD_BYTES = 8192;
+    private static final int BODY_BYTES = 4096;
+    private static final int TALES = 20_000;
+    /** A release is tried this many times within the time that a state may be held. */
+    private static final int RELEASE_TRIES = 5;
+    private static final Waiting WAITING = new Waiting();
+
+    private final EventLoop loop;
+    private final Ground ground;
+    private final LinkBounds bounds;
+    private final LoadText loads;
+    private final Bootstrap bootstrap;
+    private final Map<Spot, Pool> pools = new LinkedHashMap<>();
+    /** What is open of each request, by the client's id. */
+    private final Map<String, Tale> tales = new HashMap<>();
+    private List<Spot> spots = List.of();
+    private int connections;
+    private int turn;
+
+    /** A read state waits under the request's own id. */
+    private static final class Waiting implements StateHandle { }
+
+    /** The legs of one request that are out here, and whether a state of it is to be let go of. */
+    private static final class Tale {
+        final String id;
+        int out;
+        boolean begun;
+        boolean owed;
+        boolean releasing;
+        int tries;
+        Spot holder;
+
+        Tale(String id) {
+            this.id = id;
+        }
+    }
+
+    public PassageLink(EventLoop loop, Ground ground, ByteBufAllocator buffers, LinkBounds bounds) {
+        this.loop = loop;
+        this.ground = ground;
+        this.bounds = bounds;
+        loads = new LoadText(bounds.reportFields());
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, buffers)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.max(1, (int) bounds.connectMs()));
+        ground.every(Math.max(100, bounds.keepAliveMs() / 20), this::closeOld);
+    }
+
+    double nowMs() {
+        return ground.nowMs();
+    }
+
+    LinkBounds bounds() {
+        return bounds;
+    }
+
+    /** The engines that are there now; a release that its holder does not take goes to another of them. */
+    public void engines(List<Spot> now) {
+        spots = List.copyOf(now);
+    }
+
+    /** Legs that are out, for the picture beside the module's. */
+    public int legsOut(Spot spot) {
+        Pool pool = pools.get(spot);
+        return pool == null ? 0 : pool.legs;
+    }
+
+    public int connectionsTo(Spot spot) {
+        Pool pool = pools.get(spot);
+        return pool == null ? 0 : pool.size();
+    }
+
+    /** Requests with a leg out or a state to let go of. */
+    public int openTales() {
+        return tales.size();
+    }
+
+    // ------------------------------------------------------------------ connections
+
+    private Pool pool(Spot spot) {
+        return pools.computeIfAbsent(spot, at -> new Pool(this, at));
+    }
+
+    /** Starts a call on the newest connection at rest or on a new one; null if there is no room for one more. */
+    private Wire start(Pool pool, Call call) {
+        Wire idle = pool.take();
+        if (idle != null) {
+            idle.start(call);
+            return idle;
+        }
+        if (pool.size() >= bounds.anEngine() || connections >= bounds.connections() && !makeRoom()) {
+            return null;
+        }
+        Wire wire = new Wire(pool, call);
+        pool.opening(wire);
+        connections++;
+        ChannelFuture opening = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new HttpResponseDecoder(new HttpDecoderConfig()
+                        .setMaxInitialLineLength(1024).setMaxHeaderSize(HEAD_BYTES).setMaxChunkSize(1 << 16)))
+                        .addLast(new HttpRequestEncoder()).addLast(wire);
+            }
+        }).connect(pool.spot.host(), pool.spot.port());
+        wire.opened(opening.channel());
+        opening.addListener(done -> {
+            if (done.isSuccess()) {
+                wire.start(call);
+            } else {
+                wire.end();
+            }
+        });
+        return wire;
+    }
+
+    /** Closes the connection that has rested longest of all; false if none rests. */
+    private boolean makeRoom() {
+        Pool oldest = null;
+        for (Pool pool : pools.values()) {
+            if (oldest == null || pool.oldestMs() < oldest.oldestMs()) {
+                oldest = pool;
+            }
+        }
+        if (oldest == null || oldest.oldestMs() == Double.POSITIVE_INFINITY) {
+            return false;
+        }
+        oldest.closeOld(oldest.oldestMs());
+        return connections < bounds.connections();
+    }
+
+    void closed() {
+        connections--;
+    }
+
+    private void closeOld() {
+        double now = ground.nowMs();
+        pools.values().forEach(pool -> pool.closeOld(now - pool.idleLimitMs()));
+        pools.values().removeIf(pool -> pool.isEmpty() && !spots.contains(pool.spot));
+    }
+
+    private FullHttpRequest bare(HttpMethod method, String target, Spot spot) {
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, target, Unpooled.EMPTY_BUFFER);
+        request.headers().set(HttpHeaderNames.HOST, spot.toString());
+        return request;
+    }
+
+    // ------------------------------------------------------------------ legs
+
+    @Override
+    public Flight read(Order order, Hearing hearing) {
+        return fly(order, hearing, true);
+    }
+
+    @Override
+    public Flight write(Order order, Hearing hearing) {
+        return fly(order, hearing, false);
+    }
+
+    private Flight fly(Order order, Hearing hearing, boolean reads) {
+        Tale tale = tales.computeIfAbsent(order.passage().id(), Tale::new);
+        tale.out++;
+        Pool pool = pool(order.spot());
+        pool.legs++;
+        Leg leg = new Leg(order, hearing, reads, tale, pool);
+        leg.wire = start(pool, leg);
+        if (leg.wire == null) {
+            leg.verdict.unfit();
+            leg.endLater();
+        }
+        return leg;
+    }
+
+    /** One leg that is out. */
+    private final class Leg implements Call, Flight {
+        private final Order order;
+        private final Hearing hearing;
+        private final boolean reads;
+        private final Tale tale;
+        private final Pool pool;
+        private final Verdict verdict = new Verdict();
+        private final EventCutter events = new EventCutter(EVENT_BYTES, LOAD);
+        private Wire wire;
+        private boolean begun;
+        private boolean over;
+        private boolean held;
+        private Report report;
+        private ByteArrayOutputStream note;
+
+        Leg(Order order, Hearing hearing, boolean reads, Tale tale, Pool pool) {
+            this.order = order;
+            this.hearing = hearing;
+            this.reads = reads;
+            this.tale = tale;
+            this.pool = pool;
+        }
+
+        @Override
+        public FullHttpRequest request() {
+            Passage passage = order.passage();
+            double left = passage.limitMs() - ground.nowMs();
+            // Danger: between the choice and this moment the engine may have been told to drain, or the time be up.
+            if (over || !order.stillMay().getAsBoolean() || left < 1) {
+                verdict.unfit();
+                endLater();
+                return null;
+            }
+            ByteBuf body = Unpooled.wrappedBuffer(passage.body());
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+                    HttpMethod.valueOf(passage.method()), passage.target(), body);
+            request.headers().set(HttpHeaderNames.HOST, order.spot().toString()).set(ID, passage.id())
+                    .set(LEFT, Long.toString((long) left))
+                    .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+                    .set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(passage.body().length));
+            return request;
+        }
+
+        @Override
+        public void written() {
+            verdict.written();
+        }
+
+        @Override
+        public boolean head(HttpResponse response) {
+            int status = response.status().code();
+            verdict.head(status, "1".equals(response.headers().get(DECLINED)));
+            report = loads.read(response.headers().get(LOAD));
+            // Danger: a stream without chunks has no end of its own; a break would pass for it.
+            return status != 200 || !reads && HttpUtil.isTransferEncodingChunked(response);
+        }
+
+        @Override
+        public boolean body(ByteBuf some) {
+            if (verdict.status() == 202) {
+                note = note == null ? new ByteArrayOutputStream(64) : note;
+                byte[] bytes = new byte[some.readableBytes()];
+                some.getBytes(some.readerIndex(), bytes);
+                note.write(bytes, 0, bytes.length);
+                return note.size() <= BODY_BYTES;
+            }
+            if (verdict.status() != 200) {
+                return true;
+            }
+            byte[] whole = events.feed(some);
+            if (whole != null) {
+                if (!begun) {
+                    begun = true;
+                    tale.begun = true;
+                    hearing.begun();
+                }
+                if (!over) {
+                    hearing.events(whole);
+                }
+            }
+            return !events.isNoise();
+        }
+
+        @Override
+        public boolean whole() {
+            if (verdict.status() == 200) {
+                if (events.isWhole()) {
+                    verdict.whole();
+                }
+                report = events.report() != null ? loads.read(events.report()) : report;
+            } else if (verdict.status() == 202 && reads && !over) {
+                JsonNode kept = keptNote();
+                if (kept != null) {
+                    over = true;
+                    home();
+                    hearing.read(WAITING, kept.intValue(), 0, report);
+                    settle(tale);
+                    return true;
+                }
+                verdict.garbled();
+            }
+            end();
+            return verdict.status() != 200 || events.isWhole();
+        }
+
+        private JsonNode keptNote() {
+            try {
+                JsonNode kept = MAPPER.readTree(note == null ? new byte[0] : note.toByteArray()).path("cached_tokens");
+                return kept.isInt() && kept.intValue() >= 0 ? kept : null;
+            } catch (IOException e) {
+                return null;
+            }
+        }
+
+        @Override
+        public void paused() {
+            if (begun && !over) {
+                hearing.soFar();
+            }
+        }
+
+        @Override
+        public void garbled() {
+            verdict.garbled();
+            end();
+        }
+
+        @Override
+        public void broken() {
+            endLater();
+        }
+
+        @Override
+        public void cancel() {
+            called(false);
+        }
+
+        @Override
+        public void expire() {
+            called(true);
+        }
+
+        private void called(boolean timeIsUp) {
+            if (over) {
+                return;
+            }
+            verdict.called(timeIsUp);
+            if (wire != null) {
+                wire.drop();
+            }
+            endLater();
+        }
+
+        @Override
+        public void pause() {
+            held = true;
+            if (wire != null) {
+                wire.reads(false);
+            }
+        }
+
+        @Override
+        public void resume() {
+            held = false;
+            if (wire != null && !over) {
+                wire.reads(true);
+            }
+        }
+
+        /** Nothing may be told from inside a call of the sender's. */
+        private void endLater() {
+            ground.later(this::end);
+        }
+
+        private void end() {
+            if (over) {
+                return;
+            }
+            over = true;
+            if (held && wire != null) {
+                wire.reads(true);
+            }
+            home();
+            hearing.ended(verdict.outcome(), report, new Ending(Ending.Why.END_OF_TURN, null, -1, 0));
+            settle(tale);
+        }
+
+        private void home() {
+            tale.out--;
+            pool.legs--;
+            if (verdict.status() != 0) {
+                pool.heardMs = ground.nowMs();
+            }
+        }
+    }
+
+    // ------------------------------------------------------------------ releases
+
+    @Override
+    public void release(Spot spot, String rid) {
+        String id = rid.substring(0, rid.lastIndexOf('.'));
+        Tale tale = tales.get(id);
+        if (tale == null) {
+            if (tales.size() >= TALES) {
+                LOG.warn("too many releases under way; a state is left to its engine");
+                return;
+            }
+            tale = new Tale(id);
+            tales.put(id, tale);
+        }
+        tale.owed = true;
+        tale.holder = spot;
+        Tale own = tale;
+        ground.later(() -> settle(own));
+    }
+
+    /**
+     * Danger: a release names the whole request; sent while a leg is out it would free the state that this leg is to
+     * fetch. Once a stream has begun nothing is left to be fetched.
+     */
+    private void settle(Tale tale) {
+        ground.later(() -> {
+            if (tale.owed && !tale.releasing && (tale.out == 0 || tale.begun)) {
+                tale.owed = false;
+                tale.releasing = true;
+                tale.tries = 0;
+                letGo(tale);
+            } else if (tale.out == 0 && !tale.owed && !tale.releasing) {
+                tales.remove(tale.id, tale);
+            }
+        });
+    }
+
+    private void letGo(Tale tale) {
+        Spot spot = nextSpot(tale);
+        tale.tries++;
+        if (spot == null) {
+            released(tale, false);
+            return;
+        }
+        Short call = new Short(spot, HttpMethod.DELETE, "/v1/holds/" + tale.id, bounds.releaseMs() / RELEASE_TRIES,
+                answer -> released(tale, answer != null));
+        call.go();
+    }
+
+    /** The holder first; then those heard from last, and then all in turn. */
+    private Spot nextSpot(Tale tale) {
+        if (tale.tries == 0 && spots.contains(tale.holder)) {
+            return tale.holder;
+        }
+        Spot best = null;
+        double bestMs = Double.NEGATIVE_INFINITY;
+        for (Spot spot : spots) {
+            Pool pool = pools.get(spot);
+            if (!spot.equals(tale.holder) && pool != null && pool.heardMs > bestMs) {
+                best = spot;
+                bestMs = pool.heardMs;
+            }
+        }
+        if (tale.tries > 1 && !spots.isEmpty() || best == null) {
+            best = spots.isEmpty() ? null : spots.get(turn++ % spots.size());
+        }
+        return best;
+    }
+
+    private void released(Tale tale, boolean heard) {
+        if (!heard && tale.tries < 2 * RELEASE_TRIES && (tale.out == 0 || tale.begun)) {
+            letGo(tale);
+            return;
+        }
+        if (!heard) {
+            LOG.atWarn().addKeyValue("id", tale.id).log("no engine took a release; the state is left to its engine");
+        }
+        tale.releasing = false;
+        settle(tale);
+    }
+
+    // ------------------------------------------------------------------ probes
+
+    @Override
+    public void probe(Spot spot, Consumer<Report> told) {
+        new Short(spot, HttpMethod.GET, "/metrics/load", bounds.connectMs(), answer ->
+                told.accept(answer == null || answer.status != 200 ? null : loads.read(answer.text()))).go();
+    }
+
+    /** A call without a body, with an answer that is small and a time limit. */
+    private final class Short implements Call {
+        private final Spot spot;
+        private final HttpMethod method;
+        private final String target;
+        private final Consumer<Short> told;
+        private final double limitMs;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream(64);
+        private int status;
+        private Wire wire;
+        private boolean over;
+        private long timer;
+
+        Short(Spot spot, HttpMethod method, String target, double limitMs, Consumer<Short> told) {
+            this.spot = spot;
+            this.method = method;
+            this.target = target;
+            this.limitMs = limitMs;
+            this.told = told;
+        }
+
+        void go() {
+            timer = ground.in(limitMs, () -> {
+                if (!over && wire != null) {
+                    wire.drop();
+                }
+                end(null);
+            });
+            wire = start(pool(spot), this);
+            if (wire == null) {
+                ground.later(() -> end(null));
+            }
+        }
+
+        String text() {
+            return body.toString(StandardCharsets.ISO_8859_1);
+        }
+
+        @Override
+        public FullHttpRequest request() {
+            return over ? null : bare(method, target, spot);
+        }
+
+        @Override
+        public void written() {
+            // Nothing hangs on it: a second one is harmless.
+            return;
+        }
+
+        @Override
+        public boolean head(HttpResponse response) {
+            status = response.status().code();
+            return true;
+        }
+
+        @Override
+        public boolean body(ByteBuf some) {
+            byte[] bytes = new byte[some.readableBytes()];
+            some.getBytes(some.readerIndex(), bytes);
+            body.write(bytes, 0, bytes.length);
+            return body.size() <= BODY_BYTES;
+        }
+
+        @Override
+        public boolean whole() {
+            pool(spot).heardMs = ground.nowMs();
+            end(this);
+            return true;
+        }
+
+        @Override
+        public void paused() {
+            return;
+        }
+
+        @Override
+        public void garbled() {
+            end(null);
+        }
+
+        @Override
+        public void broken() {
+            ground.later(() -> end(null));
+        }
+
+        private void end(Short answer) {
+            if (!over) {
+                over = true;
+                ground.cancel(timer);
+                told.accept(answer);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        new ArrayList<>(pools.values()).forEach(Pool::closeAll);
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/node/link/Pool.java
@@ -0,0 +1,97 @@
+package larchridge.node.link;
+
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.Set;
+import larchridge.enginelink.Spot;
+
+/** The connections to one address. Those that rest are used newest first, so that the rest grow old and are closed. */
+final class Pool {
+    /** An answer that comes directly behind another must find its connection still at rest. */
+    private static final double REST_MS = 3;
+    /** Of the time after which an engine closes; the rest is for what is on its way. */
+    private static final double IDLE_PART = 0.8;
+
+    final Spot spot;
+    private final PassageLink link;
+    private final ArrayDeque<Wire> idle = new ArrayDeque<>();
+    private final Set<Wire> all = new HashSet<>();
+    /** Legs that are out there. */
+    int legs;
+    /** When anything was heard from there last. */
+    double heardMs = Double.NEGATIVE_INFINITY;
+
+    Pool(PassageLink link, Spot spot) {
+        this.link = link;
+        this.spot = spot;
+    }
+
+    /** A connection at rest that can be used, or null. */
+    Wire take() {
+        double now = link.nowMs();
+        double limit = link.bounds().keepAliveMs() * IDLE_PART;
+        for (Wire wire : idle) {
+            if (now - wire.idleSinceMs >= limit) {
+                break;
+            }
+            if (now - wire.idleSinceMs >= REST_MS && wire.isUsable()) {
+                idle.remove(wire);
+                return wire;
+            }
+        }
+        return null;
+    }
+
+    void opening(Wire wire) {
+        all.add(wire);
+    }
+
+    void rest(Wire wire) {
+        if (!wire.isUsable()) {
+            wire.close();
+            return;
+        }
+        wire.idleSinceMs = link.nowMs();
+        heardMs = wire.idleSinceMs;
+        idle.addFirst(wire);
+    }
+
+    void lost(Wire wire) {
+        if (all.remove(wire)) {
+            idle.remove(wire);
+            link.closed();
+        }
+    }
+
+    int size() {
+        return all.size();
+    }
+
+    int idle() {
+        return idle.size();
+    }
+
+    /** Closes what has rested for too long, or the one that has rested longest; tells how many. */
+    void closeOld(double sinceMs) {
+        while (!idle.isEmpty() && idle.peekLast().idleSinceMs <= sinceMs) {
+            idle.pollLast().close();
+        }
+    }
+
+    /** When the one that has rested longest began to; infinity if none rests. */
+    double oldestMs() {
+        return idle.isEmpty() ? Double.POSITIVE_INFINITY : idle.peekLast().idleSinceMs;
+    }
+
+    boolean isEmpty() {
+        return all.isEmpty();
+    }
+
+    void closeAll() {
+        Set.copyOf(all).forEach(Wire::close);
+    }
+
+    double idleLimitMs() {
+        return link.bounds().keepAliveMs() * IDLE_PART;
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/node/link/Wire.java
@@ -0,0 +1,186 @@
+package larchridge.node.link;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * One connection to an engine: one call at a time. It goes back to its pool only if everything about the answer was in
+ * order; whatever comes that nobody asked for ends it.
+ */
+final class Wire extends ChannelInboundHandlerAdapter {
+    private final Pool pool;
+    private Channel channel;
+    private Call call;
+    /** The write of the call's request is done. */
+    private boolean written;
+    private boolean interim;
+    private boolean keepsAlive;
+    /** The answer is whole and the connection may be used again when this read is over. */
+    private boolean resting;
+    private boolean gone;
+    double idleSinceMs;
+
+    Wire(Pool pool, Call call) {
+        this.pool = pool;
+        this.call = call;
+    }
+
+    void opened(Channel own) {
+        channel = own;
+    }
+
+    boolean isUsable() {
+        return !gone && channel.isActive();
+    }
+
+    /** Puts a call on an idle connection, or the first on a new one. */
+    void start(Call next) {
+        call = next;
+        written = false;
+        interim = false;
+        FullHttpRequest request = next.request();
+        if (request == null) {
+            call = null;
+            pool.rest(this);
+            return;
+        }
+        channel.writeAndFlush(request).addListener(done -> {
+            if (call != next) {
+                return;
+            }
+            if (done.isSuccess()) {
+                written = true;
+                next.written();
+            } else {
+                channel.close();
+            }
+        });
+    }
+
+    /** The call is given up: the connection ends, and nothing more is told. */
+    void drop() {
+        call = null;
+        close();
+    }
+
+    void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    void reads(boolean on) {
+        if (channel != null) {
+            channel.config().setAutoRead(on);
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            if (call == null || resting) {
+                // Danger: an answer that nobody asked for would be taken for the next request's.
+                resting = false;
+                call = null;
+                close();
+                return;
+            }
+            take((HttpObject) message);
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void take(HttpObject part) {
+        if (part.decoderResult().isFailure()) {
+            spoilt();
+            return;
+        }
+        if (part instanceof HttpResponse response) {
+            interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+            if (interim) {
+                return;
+            }
+            keepsAlive = HttpUtil.isKeepAlive(response)
+                    && (HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response)
+                    || response.status().code() == 204);
+            if (!call.head(response)) {
+                spoilt();
+                return;
+            }
+        }
+        if (part instanceof HttpContent content && !interim) {
+            if (content.content().isReadable() && !call.body(content.content())) {
+                spoilt();
+                return;
+            }
+            if (part instanceof LastHttpContent) {
+                Call ended = call;
+                // Danger: an answer before the request's last byte leaves a connection out of step.
+                boolean clean = keepsAlive && written;
+                resting = ended.whole() && clean;
+                call = resting ? call : null;
+                if (!resting) {
+                    close();
+                }
+            }
+        }
+    }
+
+    private void spoilt() {
+        Call ended = call;
+        call = null;
+        close();
+        if (ended != null) {
+            ended.garbled();
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (resting) {
+            resting = false;
+            call = null;
+            pool.rest(this);
+        } else if (call != null) {
+            call.paused();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        end();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof java.io.IOException) {
+            close();
+        } else {
+            spoilt();
+        }
+    }
+
+    /** The connection is no more, or never came up. */
+    void end() {
+        if (gone) {
+            return;
+        }
+        gone = true;
+        pool.lost(this);
+        Call ended = resting ? null : call;
+        call = null;
+        if (ended != null) {
+            ended.broken();
+        }
+    }
+}
--- a/src/main/java/larchridge/site/Site.java
+++ b/src/main/java/larchridge/site/Site.java
@@ -61,6 +61,16 @@
     final Map<String, Grant> groups = new LinkedHashMap<>();
     final List<TenantGrant> tenantGrants = new ArrayList<>();
 
+    /** A front's surroundings without a site file: no budgets, no ledger, no batches. The limits are the caller's to set. */
+    public static Site plain(Terms terms) {
+        Site site = new Site();
+        site.terms = terms;
+        site.seed = terms.seed;
+        site.fronts = 1;
+        site.guest = new Tenant("", 0, 0);
+        return site;
+    }
+
     record TenantGrant(String tenant, String group, Grant grant, Map<String, Grant> products) { }
 
     /** Whom a generation is done for; each front counts an account of its own. */
--- a/src/main/java/larchridge/benchlink/EnvReader.java
+++ b/src/main/java/larchridge/terms/Given.java
@@ -1,50 +1,60 @@
-package larchridge.benchlink;
+package larchridge.terms;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import larchridge.state.Account;
 import larchridge.state.Effect;
 import larchridge.state.Product;
+import larchridge.state.Report;
 import larchridge.state.Role;
 import larchridge.state.Span;
 import larchridge.state.Terms;
 
-/** Reads the settings that an instance is started with, and the names used in them. */
-final class EnvReader {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+/**
+ * What the settings object of a deployment says, turned into the few figures that the module, an adapter and a node
+ * use. The same object comes on the bench's wire and in a node's configuration. Times are milliseconds.
+ */
+public final class Given {
+    public final Terms terms = new Terms();
+    public final Map<String, Product> products = new LinkedHashMap<>();
+    public final Map<String, Account> accounts = new LinkedHashMap<>();
+    public final Map<String, Role> roles = new LinkedHashMap<>();
+    /** Tokens that a kind of engine has memory for. */
+    public final Map<String, Double> memory = new LinkedHashMap<>();
+    /** How long clients of a product wait in all. */
+    public final Map<String, Double> patienceMs = new LinkedHashMap<>();
+    /** Names of the figures of load reports, in the order told. */
+    public final List<String> reportFields = new ArrayList<>();
+    public double connectMs;
+    /** After so long without use an engine closes a connection. */
+    public double keepAliveMs;
+    public double drainGraceMs;
+    public double answerGraceMs;
+    /** Within this a held state is to be used or let go of. */
+    public double releaseMs;
 
-    final Terms terms = new Terms();
-    final Map<String, Product> products = new LinkedHashMap<>();
-    final Map<String, Account> accounts = new LinkedHashMap<>();
-    final Map<String, Role> roles = new LinkedHashMap<>();
-    final Map<String, Double> memory = new LinkedHashMap<>();
+    private Given() { }
 
-    private final Line line;
-
-    EnvReader(Line line) throws BadLine {
-        this.line = line;
-        JsonNode env;
-        try {
-            env = MAPPER.readTree(line.rest("env"));
-        } catch (JsonProcessingException e) {
-            throw line.bad("member env is broken JSON; expected an object (" + e.getOriginalMessage() + ")");
-        }
+    /** Reads the object; seed is the one of the instance that it was given to. */
+    public static Given read(JsonNode env, long seed) throws BadTerms {
         if (env == null || !env.isObject()) {
-            throw line.bad("member env is no JSON object; expected an object");
+            throw new BadTerms("is no JSON object; expected an object");
         }
+        Given given = new Given();
         JsonNode family = env.path("family_info");
         JsonNode limits = env.path("limits");
         JsonNode rules = env.path("invariants");
         JsonNode reporting = env.path("reporting");
-        terms.seed = line.whole("seed");
+        Terms terms = given.terms;
+        terms.seed = seed;
         terms.fronts = Math.max(1, (int) number(env, "n_instances", 1));
         terms.zone = env.path("az").asText("");
-        readProducts(env.path("request_classes"), family);
-        readAccounts(env.path("accounts"));
-        readKinds(env.path("host_types"), family);
+        given.readProducts(env.path("request_classes"), family);
+        given.readAccounts(env.path("accounts"));
+        given.readKinds(env.path("host_types"), family);
         terms.maxLegs = (int) number(limits, "max_attempts", Integer.MAX_VALUE);
         terms.mayCancel = flag(limits, "may_cancel");
         terms.mayProbe = flag(limits, "may_probe");
@@ -54,20 +64,27 @@
         String source = reporting.path("source").asText("off");
         terms.reportsWithAnswers = source.equals("inline");
         terms.reportsWithProbes = !source.equals("off");
+        reporting.path("fields").forEach(field -> given.reportFields.add(field.asText()));
         terms.comeBackMaxMs = flag(limits, "retry_after") ? ms(limits, "max_retry_after_s", 0) : 0;
         terms.coldShare = number(rules, "cold_share", 1);
         terms.coldMs = ms(rules, "cold_s", 0);
         terms.tipMultiple = number(rules, "overload_factor", 1);
         terms.tipMs = ms(rules, "tip_after_s", 1);
         terms.overShareRevenue = number(env, "over_share_worth", 1);
+        given.connectMs = ms(limits, "dial_timeout_s", 1);
+        given.keepAliveMs = ms(limits, "keepalive_s", 15);
+        given.drainGraceMs = ms(rules, "stop_sending_within_s", 0);
+        given.answerGraceMs = ms(rules, "grace_to_answer_s", 0);
+        given.releaseMs = ms(family, "release_within_s", 1);
+        return given;
     }
 
-    private void readProducts(JsonNode classes, JsonNode family) throws BadLine {
+    private void readProducts(JsonNode classes, JsonNode family) throws BadTerms {
         int i = 0;
         for (JsonNode node : classes) {
             String name = node.path("name").asText("");
             if (name.isEmpty()) {
-                throw line.bad("member env: request_classes[" + i + "].name is missing; expected a name");
+                throw new BadTerms("request_classes[" + i + "].name is missing; expected a name");
             }
             double slo = ms(node, "slo_s", 1);
             Effect effect = switch (node.path("repeat").asText("side_effect")) {
@@ -84,11 +101,12 @@
             products.put(name, new Product(name, effect, span, ms(node, "memory_span_s", 0),
                     number(node, "worth", 1), number(node, "late_worth", 0), slo, perThousand / 1e6,
                     family.path("token_aim_s").path(i).asDouble(0.06) * 1000));
+            patienceMs.put(name, ms(node, "give_up_s", slo / 1000));
             i++;
         }
     }
 
-    private void readAccounts(JsonNode nodes) throws BadLine {
+    private void readAccounts(JsonNode nodes) throws BadTerms {
         for (JsonNode node : nodes) {
             String name = node.path("name").asText("");
             accounts.put(name, new Account(name, number(node, "quota_per_s", 0)));
@@ -109,17 +127,29 @@
         }
     }
 
-    private double ms(JsonNode node, String key, double fallbackSeconds) throws BadLine {
+    /** A load report from its figures by name; a figure that is not there is NaN. */
+    public static Report report(Figures figures) {
+        return new Report(figures.named("concurrent"), figures.named("depth"), figures.named("x0"),
+                figures.named("x1") * 1000);
+    }
+
+    /** Figures by the names that the settings use. */
+    public interface Figures {
+        /** The figure, or NaN. */
+        double named(String name);
+    }
+
+    private static double ms(JsonNode node, String key, double fallbackSeconds) throws BadTerms {
         return number(node, key, fallbackSeconds) * 1000;
     }
 
-    private double number(JsonNode node, String key, double fallback) throws BadLine {
+    private static double number(JsonNode node, String key, double fallback) throws BadTerms {
         JsonNode value = node.path(key);
         if (value.isMissingNode() || value.isNull()) {
             return fallback;
         }
         if (!value.isNumber()) {
-            throw line.bad("member env: " + key + " is '" + value.asText() + "'; expected a number");
+            throw new BadTerms(key + " is '" + value.asText() + "'; expected a number");
         }
         return value.doubleValue();
     }
--- a/src/test/java/larchridge/enginelink/Wire.java
+++ b/src/test/java/larchridge/enginelink/Wire.java
@@ -88,7 +88,7 @@
     final java.util.concurrent.atomic.AtomicInteger soFar = new java.util.concurrent.atomic.AtomicInteger();
 
     EngineLink.Flight send(boolean read, boolean mayBeSent) throws Exception {
-        Order order = new Order("g.0", spot, "m", "p", 4, List.of(), new Order.Sampling(null, null, null), null, null,
+        Order order = new Order("g.0", spot, "m", "p", 4, List.of(), new Order.Sampling(null, null, null), null, null, null,
                 () -> mayBeSent);
         Hearing ears = new Hearing() {
             @Override
