An engine whose late answers are mostly errors is suspect; nodes start in half a second

Causes: (1) log of legs: FAULT, FAULT, FAULT, FAULT, throttled, at the same engine within 30 ms; no CUT, no spoilt answer among them, the discovery's list unchanged. (2) both nodes away at once: the second is told to end while the first takes 4.4 s to say that it serves again; of these 2.2 to 4.2 s were the rehearsal, on half a core. Change: Choice keeps the share of errors among an engine's late answers, a new one counting a quarter; from 0.4 on it is suspect, then on trial until the share has fallen. That also holds against engines that garble or refuse what they can't use; it may harm where one kind of request alone errs everywhere: all suspect = none suspect. Tests: ChoiceTest.engineThatErrsAtOnceIsLeftAloneThoughItAnswersProbes fails without the change.

--- a/deploy/node.sh
+++ b/deploy/node.sh
@@ -4,7 +4,7 @@
 # stay under it.
 jar=target/larchridge.jar
 archive=target/node.jsa
-machine="-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:ReservedCodeCacheSize=24m -XX:MaxMetaspaceSize=48m -Xss256k -XX:-UsePerfData"
+machine="-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:ReservedCodeCacheSize=24m -XX:MaxMetaspaceSize=48m -Xss256k -XX:-UsePerfData -Dio.netty.jfr.enabled=false"
 if [ "$1" = archive ]; then
     exec java $machine -Xmx64m -XX:ArchiveClassesAtExit=$archive -Xlog:cds=off -Xlog:cds+dynamic=off -jar $jar node rehearse
 fi
--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -67,6 +67,9 @@
     private static final double OVERDUE_FACTOR = 3;
     private static final double SUSPECT_FIRST_MS = 500;
     private static final double SUSPECT_MOST_MS = 4000;
+    // What the newest answer counts in the share of an engine's errors, and the share that makes it suspect.
+    private static final double ERROR_WEIGHT = 0.25;
+    private static final double ERRORS_MOST = 0.4;
     // Rules: the parts used of a cold engine's budget and of a group's memory, the margin of a final answer.
     private static final double COLD_PART = 0.5;
     private static final double MEMORY_PART = 0.8;
@@ -142,6 +145,7 @@
 
     public void readDone(Leg leg, int keptToks, Report report, boolean over) {
         Gen gen = leg.gen;
+        answered(leg.engine, false);
         heard(leg.engine, report);
         double now = host.now();
         double unread = Math.max(gen.promptToks - keptToks, LEAST_READ_TOKS);
@@ -173,6 +177,7 @@
     public void begun(Leg leg) {
         Gen gen = leg.gen;
         double now = host.now();
+        answered(leg.engine, false);
         heard(leg.engine, null);
         leg.markRead();
         gen.begun = true;
@@ -190,7 +195,14 @@
         close(leg);
         gen.over |= over;
         switch (outcome) {
-            case STREAMED, FAULT, NO_STATE -> heard(engine, report);
+            case STREAMED, NO_STATE -> heard(engine, report);
+            case FAULT -> {
+                answered(engine, true);
+                heard(engine, report);
+                if (engine.errorShare >= ERRORS_MOST) {
+                    blame(engine);
+                }
+            }
             case FULL -> {
                 heard(engine, report);
                 engine.fullUntilMs = host.now() + (engine.reports ? FULL_WITH_REPORTS_MS : FULL_MS);
@@ -601,12 +613,22 @@
         return now >= engine.suspectUntilMs && (!engine.onTrial || engine.legs.isEmpty());
     }
 
+    /**
+     * Danger: an engine that errs at once is always idle and would draw one leg after the other, until its
+     * generations have used up their legs; that it still answers, probes too, must not clear it.
+     */
+    private static void answered(Engine engine, boolean erred) {
+        engine.errorShare += ERROR_WEIGHT * ((erred ? 1 : 0) - engine.errorShare);
+    }
+
     private void heard(Engine engine, Report report) {
         double now = host.now();
         engine.heardMs = now;
-        engine.suspectUntilMs = 0;
-        engine.suspectForMs = 0;
-        engine.onTrial = false;
+        if (engine.errorShare < ERRORS_MOST) {
+            engine.suspectUntilMs = 0;
+            engine.suspectForMs = 0;
+            engine.onTrial = false;
+        }
         if (report == null) {
             return;
         }
--- a/src/main/java/larchridge/node/Node.java
+++ b/src/main/java/larchridge/node/Node.java
@@ -55,9 +55,12 @@
     /** Nobody is left waiting on a stream for longer, though the platform allows a little more. */
     private static final double QUIET_MS = 4500;
     private static final double SLOW_CLIENT_MS = 4500;
-    /** Generations that are rehearsed before the node says that it can serve, and the time for it. */
-    private static final int REHEARSED = 200;
-    private static final double REHEARSAL_MS = 5000;
+    /**
+     * Generations that are rehearsed before the node says that it can serve, and the time for it. Danger: a restart in
+     * which all code is warmed up leaves the other nodes alone for longer than it is worth.
+     */
+    private static final int REHEARSED = 10;
+    private static final double REHEARSAL_MS = 500;
     private static final double PICTURE_MS = 1000;
     /** For so long after the word to end, clients may still come. */
     private static final double COMING_MS = 750;
--- a/src/main/java/larchridge/state/Engine.java
+++ b/src/main/java/larchridge/state/Engine.java
@@ -44,6 +44,8 @@
     public double suspectUntilMs;
     public double suspectForMs;
     public boolean onTrial;
+    /** Of its late answers, the part that were errors. */
+    public double errorShare;
     public double heardMs = Double.NEGATIVE_INFINITY;
 
     /** Texts sent there before this are no longer kept. */
@@ -90,6 +92,7 @@
         suspectUntilMs = 0;
         suspectForMs = 0;
         onTrial = false;
+        errorShare = 0;
         drawnMs = nowMs;
     }
 }
--- a/src/test/java/larchridge/ChoiceTest.java
+++ b/src/test/java/larchridge/ChoiceTest.java
@@ -412,4 +412,24 @@
         choice.woken();
         assertEquals(100, gens.stream().filter(gen -> gen.leastReadToks >= 0).count());
     }
+
+    @Test
+    void engineThatErrsAtOnceIsLeftAloneThoughItAnswersProbes() {
+        Stage stage = new Stage();
+        Choice choice = stage.start();
+        Engine[] fleet = stage.fleet(2, 0);
+        for (int i = 0; i < 3; i++) {
+            choice.arrived(stage.gen("g" + i));
+            while (stage.last().out && stage.last().engine == fleet[0]) {
+                choice.ended(stage.last(), Outcome.FAULT, null, false);
+                choice.probed(fleet[0], true, null);
+            }
+            stage.now += 10;
+        }
+        int before = stage.sent.size();
+        choice.arrived(stage.gen("last"));
+        assertEquals(before + 1, stage.sent.size());
+        assertEquals(fleet[1], stage.last().engine);
+        assertTrue(stage.sent.stream().filter(leg -> leg.engine == fleet[0]).count() <= 2);
+    }
 }
