--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -197,7 +197,9 @@
         switch (outcome) {
             case STREAMED, NO_STATE -> heard(engine, report);
             case FAULT -> {
-                answered(engine, true);
+                if (!gen.over) {
+                    answered(engine, true);
+                }
                 heard(engine, report);
                 if (engine.errorShare >= ERRORS_MOST) {
                     blame(engine);
--- a/src/main/java/larchridge/enginelink/Hearing.java
+++ b/src/main/java/larchridge/enginelink/Hearing.java
@@ -22,6 +22,11 @@
     /** All that came in one go is told; what was gathered of it may go on now, in one write. */
     void soFar();
 
+    /** The engine says that the request itself can't be used, by whomever; the end of the leg follows. */
+    default void unusable() {
+        return;
+    }
+
     /** The last call for this leg; ending is given with STREAMED only. */
     void ended(Outcome outcome, Report report, Ending ending);
 }
--- a/src/main/java/larchridge/front/Client.java
+++ b/src/main/java/larchridge/front/Client.java
@@ -44,5 +44,5 @@
     void cut();
 
     /** Why a generation was terminated. */
-    enum Cause { TIME_UP, BROKEN, STOPPING, INTERNAL }
+    enum Cause { TIME_UP, BROKEN, STOPPING, INTERNAL, UNUSABLE }
 }
--- a/src/main/java/larchridge/front/Front.java
+++ b/src/main/java/larchridge/front/Front.java
@@ -568,6 +568,15 @@
             }
         }
 
+        @Override
+        public void unusable() {
+            tick();
+            // Danger: sent on, it would use up its legs and let every engine that rightly refuses it seem to fail.
+            trip.ended = true;
+            terminate(one, Client.Cause.UNUSABLE);
+            abandon(one);
+        }
+
         @Override
         public void ended(Outcome outcome, Report report, Ending ending) {
             tick();
--- a/src/main/java/larchridge/messages/MessagesClient.java
+++ b/src/main/java/larchridge/messages/MessagesClient.java
@@ -152,6 +152,7 @@
             case BROKEN -> ApiFault.internal("The answer broke off at its engine");
             case STOPPING -> ApiFault.internal("This front has stopped");
             case INTERNAL -> ApiFault.internal("Internal error");
+            case UNUSABLE -> ApiFault.invalid("The engines can't use this request");
         };
         if (isGone()) {
             return;
--- a/src/main/java/larchridge/node/Node.java
+++ b/src/main/java/larchridge/node/Node.java
@@ -49,7 +49,7 @@
     private static final int CHUNK_ORDER = 6;
     private static final int BODY_BYTES = 256 << 10;
     /** The part of the memory that bodies may take, and what is reckoned for one open generation beside. */
-    private static final double BODIES_PART = 0.08;
+    private static final double BODIES_PART = 0.2;
     private static final int OPEN_BYTES = 16 << 10;
     private static final double REQUEST_MS = 2000;
     /** Nobody is left waiting on a stream for longer, though the platform allows a little more. */
--- a/src/main/java/larchridge/node/door/Guest.java
+++ b/src/main/java/larchridge/node/door/Guest.java
@@ -439,7 +439,8 @@
                 cut();
             } else if (finish()) {
                 answer(cause == Cause.TIME_UP ? HttpResponseStatus.GATEWAY_TIMEOUT
-                        : HttpResponseStatus.INTERNAL_SERVER_ERROR, "failed", 0, last);
+                        : cause == Cause.UNUSABLE ? HttpResponseStatus.BAD_REQUEST
+                        : HttpResponseStatus.INTERNAL_SERVER_ERROR, "failed", 0, last || cause == Cause.UNUSABLE);
             }
         }
 
--- a/src/main/java/larchridge/node/link/PassageLink.java
+++ b/src/main/java/larchridge/node/link/PassageLink.java
@@ -426,6 +426,9 @@
             if (held && wire != null) {
                 wire.reads(true);
             }
+            if (verdict.isUnusable()) {
+                hearing.unusable();
+            }
             home();
             hearing.ended(verdict.outcome(), report, new Ending(Ending.Why.END_OF_TURN, null, -1, 0));
             settle(tale);
--- a/src/main/java/larchridge/node/link/Verdict.java
+++ b/src/main/java/larchridge/node/link/Verdict.java
@@ -56,6 +56,11 @@
         unfit = true;
     }
 
+    /** Whether the engine says that nobody can use the request as it is. */
+    boolean isUnusable() {
+        return !declined && !garbled && !called && status >= 400 && status < 500 && status != 408 && status != 429;
+    }
+
     /** The outcome, once nothing more can come. */
     Outcome outcome() {
         if (whole && !garbled && status == 200) {
--- a/src/test/java/larchridge/node/NodeTest.java
+++ b/src/test/java/larchridge/node/NodeTest.java
@@ -141,6 +141,21 @@
         scene.reader.next("POST");
     }
 
+    @Test
+    void requestThatAnEngineCantUseIsAnErrorAtOnceAndGoesToNoOther() throws Exception {
+        scene.reader.script = seen -> new Reply(Scene.answer("400 Bad Request", "{}"), true);
+        Scene.Guest client = scene.client();
+        client.send(Scene.ask(Scene.id(), ""));
+        assertTrue(client.rest().startsWith("HTTP/1.1 400 "));
+        scene.reader.next("POST");
+        assertTrue(scene.reader.seen.isEmpty());
+        // Nobody is blamed for it: the next one is served there.
+        scene.reader.script = seen -> new Reply(Scene.read(0), true);
+        Scene.Guest other = scene.client();
+        other.send(Scene.ask(Scene.id(), ""));
+        assertTrue(other.until("0\r\n\r\n").startsWith("HTTP/1.1 200 "));
+    }
+
     @Test
     void clientThatLeavesHasItsStateLetGo() throws Exception {
         CountDownLatch reading = new CountDownLatch(1);
@@ -160,12 +175,11 @@
 
     @Test
     void stateIsLetGoOfAtAnotherEngineWhereItsHolderIsSilent() throws Exception {
-        scene.reader.script = seen -> new Reply(null, true);
+        scene.reader.silent = true;
         String id = Scene.id();
         Scene.Guest client = scene.client();
         client.send(Scene.ask(id, 1000, ""));
         assertTrue(client.answer().matches("(?s)HTTP/1.1 50[34] .*"));
-        scene.reader.close();
         assertEquals("/v1/holds/" + id, scene.writer.next("DELETE").target());
     }
 
--- a/src/test/java/larchridge/node/Scene.java
+++ b/src/test/java/larchridge/node/Scene.java
@@ -222,6 +222,8 @@
     static final class Actor implements AutoCloseable {
         final BlockingQueue<Seen> seen = new LinkedBlockingQueue<>();
         volatile Function<Seen, Reply> script;
+        /** Whether it takes all and answers nothing, releases too. */
+        volatile boolean silent;
         private final ServerSocket server;
         private final List<Socket> sockets = new CopyOnWriteArrayList<>();
         private final AtomicInteger connections = new AtomicInteger();
@@ -275,7 +277,7 @@
                             StandardCharsets.ISO_8859_1);
                     Seen one = new Seen(first[0], first[1], head, body, number);
                     seen.add(one);
-                    Reply reply = first[0].equals("DELETE")
+                    Reply reply = silent ? new Reply(null, true) : first[0].equals("DELETE")
                             ? new Reply("HTTP/1.1 204 No Content\r\n\r\n", true) : script.apply(one);
                     if (reply.bytes != null) {
                         socket.getOutputStream().write(reply.bytes.getBytes(StandardCharsets.ISO_8859_1));
--- /dev/null
+++ b/src/test/java/larchridge/node/link/LoadTextTest.java
@@ -0,0 +1,30 @@
+package larchridge.node.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import larchridge.state.Report;
+import org.junit.jupiter.api.Test;
+
+class LoadTextTest {
+    private final LoadText loads = new LoadText(List.of("concurrent", "depth", "x0", "x1"));
+
+    @Test
+    void figuresAreReadByTheirNames() {
+        Report report = loads.read("concurrent=7,x0=0.61,x1=1.5,other=4");
+        assertEquals(7, report.inflight());
+        assertEquals(0.61, report.heldShare());
+        assertEquals(1500, report.toRead());
+        assertTrue(Double.isNaN(report.queue()));
+    }
+
+    @Test
+    void whatCantBeReadIsNoReport() {
+        for (String text : new String[] {"", "concurrent", "concurrent=", "concurrent=x", "concurrent=-1", "concurrent=NaN",
+            "concurrent=1e99", "other=1", "=,=", "\u0001", "concurrent=1,".repeat(200)}) {
+            assertNull(loads.read(text), text);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/larchridge/node/link/VerdictTest.java
@@ -0,0 +1,64 @@
+package larchridge.node.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import larchridge.state.Outcome;
+import org.junit.jupiter.api.Test;
+
+class VerdictTest {
+    private static Verdict written(int status, boolean declined) {
+        Verdict verdict = new Verdict();
+        verdict.written();
+        if (status > 0) {
+            verdict.head(status, declined);
+        }
+        return verdict;
+    }
+
+    @Test
+    void outcomesByThePagesTable() {
+        assertEquals(Outcome.FAULT, written(500, false).outcome());
+        assertEquals(Outcome.FULL, written(503, true).outcome());
+        assertEquals(Outcome.FULL, written(504, true).outcome());
+        assertEquals(Outcome.NO_STATE, written(410, true).outcome());
+        assertEquals(Outcome.UNREACHABLE, new Verdict().outcome());
+        assertEquals(Outcome.CUT, written(0, false).outcome());
+        assertEquals(Outcome.CUT, written(200, false).outcome());
+        Verdict whole = written(200, false);
+        whole.whole();
+        assertEquals(Outcome.STREAMED, whole.outcome());
+    }
+
+    @Test
+    void withoutTheEnginesWordNothingProvesThatItNeverRan() {
+        for (int status : new int[] {503, 504, 410, 429, 404}) {
+            assertFalse(written(status, false).outcome().neverRan, "status " + status);
+        }
+        Verdict noise = written(503, true);
+        noise.garbled();
+        assertFalse(noise.outcome().neverRan);
+    }
+
+    @Test
+    void calledOffProvesNothingOnceWrittenAndAllBefore() {
+        Verdict written = written(0, false);
+        written.called(false);
+        assertEquals(Outcome.CANCELLED, written.outcome());
+        Verdict late = written(0, false);
+        late.called(true);
+        assertEquals(Outcome.TIMED_OUT, late.outcome());
+        Verdict early = new Verdict();
+        early.called(false);
+        assertTrue(early.outcome().neverRan);
+    }
+
+    @Test
+    void declinedAndGoneAreNoFaultOfTheRequest() {
+        assertTrue(written(400, false).isUnusable());
+        assertFalse(written(410, true).isUnusable());
+        assertFalse(written(503, true).isUnusable());
+        assertFalse(written(500, false).isUnusable());
+    }
+}
--- /dev/null
+++ b/src/test/java/larchridge/terms/GivenTest.java
@@ -0,0 +1,40 @@
+package larchridge.terms;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import larchridge.state.Effect;
+import larchridge.state.Role;
+import org.junit.jupiter.api.Test;
+
+class GivenTest {
+    private static Given read(String json) throws Exception {
+        return Given.read(new ObjectMapper().readTree(json), 7);
+    }
+
+    @Test
+    void figuresAreTakenInMilliseconds() throws Exception {
+        Given given = read("{\"host_types\":[\"a\",\"b\"],\"family_info\":{\"stage_of_kind\":[\"read\",\"write\"],"
+                + "\"release_within_s\":0.5},\"limits\":{\"dial_timeout_s\":0.25,\"keepalive_s\":15},"
+                + "\"invariants\":{\"stop_sending_within_s\":0.25},"
+                + "\"request_classes\":[{\"name\":\"p\",\"repeat\":\"token\",\"slo_s\":1.2,\"give_up_s\":5}]}");
+        assertEquals(250, given.connectMs);
+        assertEquals(15_000, given.keepAliveMs);
+        assertEquals(250, given.drainGraceMs);
+        assertEquals(500, given.releaseMs);
+        assertEquals(5000, given.patienceMs.get("p"));
+        assertEquals(Effect.DEDUPLICATED, given.products.get("p").effect);
+        assertEquals(Role.READER, given.roles.get("a"));
+    }
+
+    @Test
+    void faultNamesTheMember() {
+        assertTrue(assertThrows(BadTerms.class, () -> read("{\"request_classes\":[{\"name\":\"p\",\"slo_s\":\"x\"}]}"))
+                .getMessage().contains("slo_s"));
+        assertTrue(assertThrows(BadTerms.class, () -> read("{\"request_classes\":[{}]}")).getMessage()
+                .contains("request_classes[0].name"));
+        assertThrows(BadTerms.class, () -> read("[]"));
+    }
+}
