Answers stay in the reader's rack, or are read in place, while moves out of it are late

Log of legs with times: reads took 40 to 300 ms, but answers sent to six of eight writers began after 2,000 to 3,000 ms and to the two others after 30 to 80 ms, with four to six streams each; both fronts saw the same. So not the readers' queues, not the writers' (slots 44 and more), not the node (to the first attempt 3 ms at the median; the picture's legs equal the link's). The quick ones are those in the readers' racks: after one of three readers had died, all states left two racks over their links. Then beginMs, raised by these moves, made every waiting generation look too late: throttled with no leg sent. Faulty lines: Choice.pickWriter takes the nearest only among those with the fewest streams; begun() counts moves into beginMs; pickReader keeps to homes, and lets engines read for themselves only where no reader is short. Change: each reader keeps how long its states took to begin outside of its rack; over 0.4 s in the last 3 s, near writers go first up to 2.5 Z, engines that read for themselves come before such readers, and such moves stay out of beginMs. This should also hold against slow links between zones, and a rack without readers; it may harm where the writers outside are late for a reason of their own while the rack is full. Tests: ChoiceTest.answersStayInTheRackWhileMovesOutOfItAreLate.

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -40,6 +40,10 @@
     // Places of one prefix in a zone; the part of the mean streams under which an engine reads for itself.
     private static final int HOMES = 2;
     private static final double SELF_READ_STREAMS = 0.6;
+    // Moves of a reader's states out of its rack that begin later than this are late; what stands in then.
+    private static final double MOVE_LATE_MS = 400;
+    private static final double NEAR_TOKS_FACTOR = 2.5;
+    private static final double SELF_READ_LATE_STREAMS = 1.5;
     // Speed before any read has ended, reads that tell an engine's own speed, the least that a read takes.
     private static final double UNHEARD_TOKS_PER_MS = 12;
     private static final double OWN_READS = 3;
@@ -181,10 +185,16 @@
         heard(leg.engine, null);
         leg.markRead();
         gen.begun = true;
+        if (gen.state != null && distance(gen.state.engine, leg.engine) > 0) {
+            gen.state.engine.moves.add(now, now - leg.sentMs, 1);
+        }
+        // Danger: late moves would make every generation look too late, also those that need no move.
+        if (gen.state == null || !movesLate(gen.state.engine, now)) {
+            beginMs += 0.05 * (now - leg.sentMs - beginMs);
+        }
         gen.state = null;
         gen.held = gen.legsOut > 1;
         warmWrites.add(now, isCold(leg.engine, now) ? 0 : 1);
-        beginMs += 0.05 * (now - leg.sentMs - beginMs);
         cancelOthers(gen, leg);
     }
 
@@ -308,18 +318,20 @@
         } else if (!some.contains(last)) {
             some.add(last);
         }
-        if (last != null && backlogMs(last, now) <= ALPHA_MS) {
+        if (last != null && backlogMs(last, now) <= ALPHA_MS && !movesLate(last, now)) {
             return last;
         }
         // Departure: only homes read, while any is fit. Danger: text read anew elsewhere doubles the work and
         // drives other texts out, until every read is long. Where no reader is short, an engine that reads
         // for itself takes prompt and answer.
         some = some.isEmpty() ? fit : some;
+        boolean late = some.stream().anyMatch(e -> movesLate(e, now));
         double mean = writers.stream().mapToDouble(e -> streams(e) / e.units).average().orElse(0);
         for (Engine engine : fit(writers, gen)) {
             if ((engine.role == Role.BOTH || writersRead) && hasRoom(engine, gen)
                     && backlogMs(engine, now) <= ALPHA_MS
-                    && streams(engine) <= SELF_READ_STREAMS * mean * engine.units) {
+                    && streams(engine) <= (late ? SELF_READ_LATE_STREAMS : SELF_READ_STREAMS) * mean
+                    * engine.units) {
                 some.add(engine);
             }
         }
@@ -332,7 +344,8 @@
         for (Engine engine : some) {
             double backlog = backlogMs(engine, now);
             boolean near = engine.zone.equals(zone);
-            int place = engine.role != Role.READER ? near ? 2 : 3 : backlog > ALPHA_MS ? 2 : near ? 0 : 1;
+            int place = engine.role != Role.READER ? late ? 1 : near ? 2 : 3
+                    : backlog > ALPHA_MS || movesLate(engine, now) ? 2 : near ? 0 : 1;
             double unread = readToks(gen, engine);
             double toks = unreadToks(engine, now) + unread;
             double dueMs = now + backlog + unread * msPerTok(engine, now) + beginMs;
@@ -361,6 +374,15 @@
         double units = roomy.stream().mapToDouble(e -> e.units).sum();
         double awaiting = awaitingToks + genToks(gen);
         double z = Z_MARGIN * ((room < awaiting ? room : awaiting) + toks) / units;
+        // Departure: where moves out of the reader's rack are late, its own rack goes beyond Z for a while.
+        if (movesLate(gen.state.engine, host.now())) {
+            List<Engine> near = new ArrayList<>(roomy);
+            near.removeIf(e -> distance(gen.state.engine, e) > 0
+                    || heldToks(e) / e.units > NEAR_TOKS_FACTOR * z);
+            if (!near.isEmpty()) {
+                return Collections.min(near, Comparator.comparingDouble(e -> streams(e) / e.units));
+            }
+        }
         List<Engine> norm = new ArrayList<>(roomy);
         norm.removeIf(e -> heldToks(e) / e.units > z);
         if (norm.isEmpty()) {
@@ -373,6 +395,14 @@
                 .thenComparingDouble(e -> streams(e) / e.units));
     }
 
+    /**
+     * Danger: all states of a rack's readers share its one link; once that is slow or full, each answer waits
+     * for seconds while writers in the rack, and engines that can read for themselves, have room.
+     */
+    private static boolean movesLate(Engine reader, double now) {
+        return reader.moves.at(now) > MOVE_LATE_MS;
+    }
+
     private Engine fewestToks(List<Engine> pool) {
         return pool.stream().min(Comparator.comparingDouble(e -> heldToks(e) / e.units)).orElse(null);
     }
@@ -523,6 +553,13 @@
         if (gen.over || gen.begun) {
             return;
         }
+        Leg newest = gen.legs.isEmpty() ? null : gen.legs.get(gen.legs.size() - 1);
+        if (gen.state != null && newest.out && !newest.toldLate && now - newest.sentMs > MOVE_LATE_MS
+                && distance(gen.state.engine, newest.engine) > 0) {
+            // One that has not begun yet tells sooner than those that have; once, since one may be lost.
+            newest.toldLate = true;
+            gen.state.engine.moves.add(now, 2 * MOVE_LATE_MS, 1);
+        }
         if (now >= gen.limitMs - ANSWER_EARLY_MS) {
             giveUp(gen);
         } else if (gen.legsOut == 0 && !gen.waiting) {
--- a/src/main/java/larchridge/front/Front.java
+++ b/src/main/java/larchridge/front/Front.java
@@ -509,6 +509,7 @@
             one.ask.reported().accept(promptToks);
             trip.keptToks = keptToks;
             meters.leg(number, "read", "READ");
+            traced("READ");
             guarded(one, () -> choice.readDone(trip.leg, keptToks, report, one.duty.isDone()));
             settle(one);
         }
@@ -521,6 +522,7 @@
             }
             one.streaming = trip;
             one.lastPieceMs = nowMs;
+            traced("BEGUN");
             meters.firstToken(number, one.gen.product.name, nowMs - one.gen.arrivedMs);
             if (!one.ask.offer().isBatch) {
                 feeling.begun((nowMs - one.gen.arrivedMs) / (one.gen.sloAtMs() - one.gen.arrivedMs));
@@ -552,6 +554,13 @@
             }
         }
 
+        private void traced(String what) {
+            LOG.atDebug().addKeyValue("generation", one.gen.label).addKeyValue("leg", trip.leg.number)
+                    .addKeyValue("engine", trip.leg.engine.label).addKeyValue("toks", one.gen.promptToks)
+                    .addKeyValue("sent", Math.round(trip.leg.sentMs - one.gen.arrivedMs))
+                    .addKeyValue("ms", Math.round(nowMs - one.gen.arrivedMs)).log(what);
+        }
+
         @Override
         public void events(byte[] whole) {
             if (one.streaming == trip && !one.duty.isDone()) {
--- a/src/main/java/larchridge/state/Engine.java
+++ b/src/main/java/larchridge/state/Engine.java
@@ -26,6 +26,9 @@
     public final Ring reads = new Ring(10, 1000);
     public final Ring speeds = new Ring(10, 1000);
 
+    /** How long of late states that were read here took to begin outside of its rack. */
+    public final Mean moves = new Mean(3, 1000);
+
     /** Whether this process has told its load. */
     public boolean reports;
     public double othersToks;
--- a/src/main/java/larchridge/state/Leg.java
+++ b/src/main/java/larchridge/state/Leg.java
@@ -17,6 +17,8 @@
     public double patienceMs;
     public boolean out = true;
     public boolean cancelled;
+    /** Whether it was counted as a late move before it began. */
+    public boolean toldLate;
     public Outcome outcome;
 
     public Leg(Gen gen, Engine engine, boolean read, double sentMs, double toks, double unreadToks) {
--- a/src/test/java/larchridge/ChoiceTest.java
+++ b/src/test/java/larchridge/ChoiceTest.java
@@ -10,6 +10,7 @@
 import larchridge.state.Engine;
 import larchridge.state.Gen;
 import larchridge.state.Leg;
+import larchridge.state.Listing;
 import larchridge.state.Mode;
 import larchridge.state.Outcome;
 import larchridge.state.Product;
@@ -432,4 +433,34 @@
         assertEquals(fleet[1], stage.last().engine);
         assertTrue(stage.sent.stream().filter(leg -> leg.engine == fleet[0]).count() <= 2);
     }
+
+    @Test
+    void answersStayInTheRackWhileMovesOutOfItAreLate() {
+        Stage stage = new Stage();
+        Choice choice = stage.start();
+        Engine reader = new Engine(1);
+        Engine near = new Engine(2);
+        Engine far = new Engine(3);
+        choice.listed(List.of(new Listing(reader, Mode.READY, 0, 1, "z", 0, Role.READER, 200_000),
+                new Listing(near, Mode.READY, 0, 1, "z", 0, Role.WRITER, 200_000),
+                new Listing(far, Mode.READY, 0, 1, "z", 7, Role.WRITER, 200_000)), true);
+        // The near one holds more than Z, so that answers go out of the rack.
+        for (int i = 0; i < 4; i++) {
+            Gen gen = stage.gen("near" + i);
+            new Leg(gen, near, false, stage.now, 2000, 0).open();
+        }
+        choice.arrived(stage.gen("first"));
+        choice.readDone(stage.last(), 0, null, false);
+        assertEquals(far, stage.last().engine);
+        stage.now += 500;
+        choice.woken();
+        choice.arrived(stage.gen("second"));
+        choice.readDone(stage.last(), 0, null, false);
+        assertEquals(near, stage.last().engine);
+        // Some seconds without any late one, and they go out again.
+        stage.now += 5000;
+        choice.arrived(stage.gen("third"));
+        choice.readDone(stage.last(), 0, null, false);
+        assertEquals(far, stage.last().engine);
+    }
 }
