A broken connection counts as an error and alone makes no engine suspect; full readers rest

Log of legs: 257 legs CUT and 429 lines "suspect" in 25 s, so that most engines were under doubt at any moment; of 17 throttled, half had used their legs at readers that had just said they were full, the same one up to four times. UNREACHABLE was 27 and 3 answers could not be read, so neither dead engines nor noise; reads and first events that came, came in time. A reader that was full rests as long as a writer that was. It should also hold against proxies that close kept connections; an engine whose process dies is suspect after its second broken leg or its first refused connection, a leg later than before.

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -206,11 +206,15 @@
         gen.over |= over;
         switch (outcome) {
             case STREAMED, NO_STATE -> heard(engine, report);
-            case FAULT -> {
+            case FAULT, CUT -> {
                 if (!gen.over) {
                     answered(engine, true);
                 }
-                heard(engine, report);
+                if (outcome == Outcome.FAULT) {
+                    heard(engine, report);
+                }
+                // Danger: a kept connection that breaks says little; were each to keep work away from its
+                // engine, most engines would be suspect while connections are reset all over.
                 if (engine.errorShare >= ERRORS_MOST) {
                     blame(engine);
                 }
@@ -219,7 +223,7 @@
                 heard(engine, report);
                 engine.fullUntilMs = host.now() + (engine.reports ? FULL_WITH_REPORTS_MS : FULL_MS);
             }
-            case UNREACHABLE, CUT -> blame(engine);
+            case UNREACHABLE -> blame(engine);
             default -> { }
         }
         if (gen.over || gen.begun || outcome == Outcome.NO_STATE) {
@@ -649,7 +653,9 @@
     }
 
     private boolean isSound(Engine engine, double now) {
-        return now >= engine.suspectUntilMs && (!engine.onTrial || engine.legs.isEmpty());
+        // Danger: a home that has just turned a read away would be asked again until the legs are used up.
+        return now >= engine.suspectUntilMs && (!engine.onTrial || engine.legs.isEmpty())
+                && (engine.role != Role.READER || now >= engine.fullUntilMs);
     }
 
     /**
