--- a/src/main/java/larchridge/node/Node.java
+++ b/src/main/java/larchridge/node/Node.java
@@ -147,6 +147,18 @@
         return loop.submit(link::openTales).get();
     }
 
+    /** Legs out by the module's count, or -1 if the link's count differs at any engine. */
+    int legsOut() throws InterruptedException, ExecutionException {
+        return loop.submit(() -> {
+            int[] legs = new int[1];
+            front.engines((row, engine) -> {
+                boolean same = engine.legs.size() == link.legsOut(new Spot(row.host(), row.port()));
+                legs[0] = same && legs[0] >= 0 ? legs[0] + engine.legs.size() : -1;
+            });
+            return legs[0];
+        }).get();
+    }
+
     void awaitEnd() throws InterruptedException {
         ended.await();
         group.shutdownGracefully(0, 500, TimeUnit.MILLISECONDS).await(1000);
--- a/src/test/java/larchridge/node/NodeTest.java
+++ b/src/test/java/larchridge/node/NodeTest.java
@@ -337,6 +337,35 @@
         assertThrows(IOException.class, () -> scene.client());
     }
 
+    @Test
+    void moduleAndLinkCountTheSameLegsThroughFaultsAndLeavingsAndReturnToZero() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        String good = Scene.GOOD + Scene.chunk(Scene.EVENT + Scene.END) + "0\r\n\r\n";
+        Reply[] replies = {new Reply(good, true), new Reply("noise\r\n\r\n", true), new Reply("", false),
+            new Reply(Scene.answer("500 Oops", ""), true), new Reply(Scene.declined("503 Full"), true), new Reply(null, true),
+            new Reply(Scene.GOOD + Scene.chunk(Scene.EVENT) + "zz\r\n", true), new Reply(good, true)};
+        scene.writer.script = seen -> replies[calls.getAndIncrement() % replies.length];
+        int most = 0;
+        for (int i = 0; i < 40; i++) {
+            Scene.Guest client = scene.client();
+            client.send(Scene.ask(Scene.id(), 600, ""));
+            int legs = scene.node.legsOut();
+            assertNotEquals(-1, legs, "at request " + i);
+            most = Math.max(most, legs);
+            if (i % 5 == 0) {
+                client.close();
+            } else if (i % 2 == 0) {
+                client.until("\r\n\r\n");
+            }
+            assertNotEquals(-1, scene.node.legsOut(), "after request " + i);
+        }
+        assertTrue(most > 0);
+        while (scene.node.openTales() > 0) {
+            assertNotEquals(-1, scene.node.legsOut());
+        }
+        assertEquals(0, scene.node.legsOut());
+    }
+
     @Test
     void nothingGrowsWithIds() throws Exception {
         Scene.Guest client = scene.client();
