--- a/src/main/java/larchridge/batch/FrontDesk.java
+++ b/src/main/java/larchridge/batch/FrontDesk.java
@@ -96,28 +96,11 @@
             return !over;
         }
 
-        @Override
-        public int gathered() {
-            return 0;
-        }
-
-        @Override
-        public void soFar() {
-            // It is kept to the end.
-            return;
-        }
-
         @Override
         public boolean isGone() {
             return over;
         }
 
-        @Override
-        public void budget(Answer budget) {
-            // Nobody reads headers of it.
-            return;
-        }
-
         @Override
         public void overBudget(Answer budget) {
             end(() -> told.overBudget(budget.backInMs()));
--- a/src/main/java/larchridge/benchlink/Instance.java
+++ b/src/main/java/larchridge/benchlink/Instance.java
@@ -231,8 +231,7 @@
         if (!line.has("pressure")) {
             return null;
         }
-        return new Report(line.pair("pressure", "concurrent"), line.pair("pressure", "depth"),
-                line.pair("pressure", "x0"), line.pair("pressure", "x1") * 1000);
+        return Given.report(name -> line.pair("pressure", name));
     }
 
     /** A generation is kept for as long as the wire may still name it. */
--- a/src/main/java/larchridge/front/Ask.java
+++ b/src/main/java/larchridge/front/Ask.java
@@ -29,15 +29,6 @@
                   String talkBefore, String talkNow, boolean whole, boolean resent, double patienceMs,
                   String repeatKey, double waitedMs, IntConsumer reported, Passage passage) {
 
-    /** Of a dialect whose requests are worded anew for engines. */
-    public Ask(Offer offer, Site.Tenant tenant, String model, String prompt, int promptToks, int sharedToks,
-               int maxToks, List<String> stops, Order.Sampling sampling, String prefix, String opening,
-               String talkBefore, String talkNow, boolean whole, boolean resent, double patienceMs,
-               String repeatKey, double waitedMs, IntConsumer reported) {
-        this(offer, tenant, model, prompt, promptToks, sharedToks, maxToks, stops, sampling, prefix, opening,
-                talkBefore, talkNow, whole, resent, patienceMs, repeatKey, waitedMs, reported, null);
-    }
-
     /** Of a request that goes on as it came; a session and a prefix by the client's own names, either may be null. */
     public static Ask passing(Offer offer, Site.Tenant tenant, Passage passage, int promptToks, int sharedToks,
                               int maxToks, String prefix, String session, boolean resent, double patienceMs,
--- a/src/main/java/larchridge/front/Client.java
+++ b/src/main/java/larchridge/front/Client.java
@@ -17,16 +17,22 @@
     }
 
     /** Pieces that are kept and have not gone out. */
-    int gathered();
+    default int gathered() {
+        return 0;
+    }
 
     /** What was kept goes out now. */
-    void soFar();
+    default void soFar() {
+        return;
+    }
 
     /** Whether nobody is there any more to be answered. */
     boolean isGone();
 
     /** What the tenant has left, before anything else is told. */
-    void budget(Answer budget);
+    default void budget(Answer budget) {
+        return;
+    }
 
     /** Final: the tenant is beyond its budget; coming back after the time told is harmless and, if alone, let in. */
     void overBudget(Answer budget);
--- a/src/main/java/larchridge/front/Front.java
+++ b/src/main/java/larchridge/front/Front.java
@@ -653,8 +653,8 @@
     }
 
     /** The engines that the module knows, with where they listen; to be looked at only. */
-    public void engines(BiConsumer<Row, Engine> each) {
-        rows.forEach((engine, row) -> each.accept(row, engine));
+    public void engines(BiConsumer<Spot, Engine> each) {
+        rows.forEach((engine, row) -> each.accept(new Spot(row.host(), row.port()), engine));
     }
 
     public int openGenerations() {
--- a/src/main/java/larchridge/virtual/World.java
+++ b/src/main/java/larchridge/front/World.java
@@ -1,16 +1,15 @@
-package larchridge.virtual;
+package larchridge.front;
 
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
-import larchridge.front.Ground;
 
 /** Virtual time: steps run in the order of their times and, in one moment, in the order in which they were asked for. */
-final class World {
+public final class World {
     /** The moment at which it begins, as Unix time: engines that start at 0 are those whose start nobody knows. */
-    static final double START_MS = 1_000_000_000;
+    public static final double START_MS = 1_000_000_000;
 
     private record Step(double ms, long number, Runnable run) { }
 
@@ -21,31 +20,31 @@
     private long numbers;
     private long ran;
 
-    double nowMs() {
+    public double nowMs() {
         return nowMs;
     }
 
     /** Milliseconds since the beginning. */
-    double sinceMs() {
+    public double sinceMs() {
         return nowMs - START_MS;
     }
 
-    long ran() {
+    public long ran() {
         return ran;
     }
 
-    long in(double ms, Runnable run) {
+    public long in(double ms, Runnable run) {
         steps.add(new Step(nowMs + Math.max(0, ms), ++numbers, run));
         return numbers;
     }
 
     /** Calls a step off that has not run. */
-    void cancel(long number) {
+    public void cancel(long number) {
         called.add(number);
     }
 
     /** Runs until so many milliseconds since the beginning. */
-    void run(double untilMs) {
+    public void run(double untilMs) {
         while (!steps.isEmpty() && steps.peek().ms <= START_MS + untilMs) {
             Step step = steps.poll();
             nowMs = step.ms;
@@ -58,7 +57,7 @@
     }
 
     /** What one front stands on. */
-    Ground ground(int front, long seed) {
+    public Ground ground(int front, long seed) {
         Random random = new Random(seed * 31 + front);
         return new Ground() {
             @Override
--- a/src/main/java/larchridge/messages/Bodies.java
+++ b/src/main/java/larchridge/messages/Bodies.java
@@ -46,7 +46,7 @@
                 read.maxToks(), read.stops(), read.sampling(), read.prefix(), read.opening(), read.talkBefore(),
                 // Like a client's late retry it goes to short readers only: others wait there for their first token.
                 read.talkNow(), true, true, Double.POSITIVE_INFINITY, repeatKey, 0,
-                toks -> thread.execute(() -> lengths.reported(model, due, toks)));
+                toks -> thread.execute(() -> lengths.reported(model, due, toks)), null);
     }
 
     /** A whole answer as the API words it. */
--- a/src/main/java/larchridge/messages/MessagesDoor.java
+++ b/src/main/java/larchridge/messages/MessagesDoor.java
@@ -271,7 +271,7 @@
                     body.sharedToks(), body.maxToks(), body.stops(), body.sampling(), body.prefix(), body.opening(),
                     body.talkBefore(), body.talkNow(), !body.stream(), retries() > 0, patienceMs(),
                     key == null ? null : Site.sha256(tenant.name() + '\n' + key), (System.nanoTime() - completeNs) / 1e6,
-                    toks -> lengths.reported(body.engineModel(), expected, toks));
+                    toks -> lengths.reported(body.engineModel(), expected, toks), null);
             measuring = null;
             MessagesClient client = new MessagesClient(front, request.response(), id, body);
             front.take(ask, client, taken -> {
--- a/src/main/java/larchridge/node/Node.java
+++ b/src/main/java/larchridge/node/Node.java
@@ -11,7 +11,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -28,9 +27,7 @@
 import larchridge.node.door.DoorBounds;
 import larchridge.node.link.LinkBounds;
 import larchridge.node.link.PassageLink;
-import larchridge.site.Offer;
 import larchridge.site.Site;
-import larchridge.state.Product;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sun.misc.Signal;
@@ -88,9 +85,7 @@
     /** Runs a node until it is told to end; gives the exit code. */
     public static int run(Map<String, String> variables, PrintStream faults) {
         try {
-            NodeFile file = NodeFile.read(variables);
-            file.check(variables);
-            Node node = new Node(variables, file);
+            Node node = make(variables);
             // In place before anything slow: without them these signals would end the process.
             Signal.handle(new Signal("TERM"), signal -> node.end());
             Signal.handle(new Signal("HUP"), signal -> node.readAgain());
@@ -131,13 +126,17 @@
 
     /** A node that is not run as a process of its own. */
     static Node open(Map<String, String> variables) throws BadNode, InterruptedException {
-        NodeFile file = NodeFile.read(variables);
-        file.check(variables);
-        Node node = new Node(variables, file);
+        Node node = make(variables);
         node.start();
         return node;
     }
 
+    private static Node make(Map<String, String> variables) throws BadNode {
+        NodeFile file = NodeFile.read(variables);
+        file.check(variables);
+        return new Node(variables, file);
+    }
+
     int port() {
         return door.port();
     }
@@ -151,8 +150,8 @@
     int legsOut() throws InterruptedException, ExecutionException {
         return loop.submit(() -> {
             int[] legs = new int[1];
-            front.engines((row, engine) -> {
-                boolean same = engine.legs.size() == link.legsOut(new Spot(row.host(), row.port()));
+            front.engines((spot, engine) -> {
+                boolean same = engine.legs.size() == link.legsOut(spot);
                 legs[0] = same && legs[0] >= 0 ? legs[0] + engine.legs.size() : -1;
             });
             return legs[0];
@@ -197,7 +196,7 @@
                     file.given.releaseMs, (int) (file.sockets * ENGINES_PART), (int) (file.sockets * ENGINES_PART / 2),
                     file.given.reportFields));
             front = new Front(ground, site, 0, link, new Meters(new CompositeMeterRegistry()), Decider::choice);
-            door = new Door(group, buffers, ground, front, site, offers(), new DoorBounds(
+            door = new Door(group, buffers, ground, front, site, file.given.products.values(), new DoorBounds(
                     (int) (file.sockets * CLIENTS_PART), BODY_BYTES, bodies, REQUEST_MS, file.given.keepAliveMs));
             EndpointReader reader = new EndpointReader(file.given.roles, file.given.memory);
             agent = new Agent(loop, buffers, ground, reader, this::listed);
@@ -224,8 +223,7 @@
         double now = ground.nowMs();
         text.append("open ").append(front.openGenerations()).append(" clients ").append(door.connections())
                 .append(" known ").append(link.openTales());
-        front.engines((row, engine) -> {
-            Spot spot = new Spot(row.host(), row.port());
+        front.engines((spot, engine) -> {
             text.append("; ").append(Long.toHexString(engine.label >>> 48)).append(' ').append(engine.role).append(' ')
                     .append(engine.mode).append(engine.suspectUntilMs > now ? " suspect" : "")
                     .append(" legs ").append(engine.legs.size()).append(" unread ").append(Math.round(engine.unreadToks))
@@ -239,16 +237,6 @@
         return file.given.patienceMs.values().stream().mapToDouble(ms -> ms).max().orElse(0);
     }
 
-    private Map<String, Offer> offers() {
-        Map<String, Offer> offers = new LinkedHashMap<>();
-        for (Product product : file.given.products.values()) {
-            // Each request brings its own time limit.
-            offers.put(product.name, new Offer(product, product, product.name, Double.POSITIVE_INFINITY, 0,
-                    Integer.MAX_VALUE, null));
-        }
-        return offers;
-    }
-
     private void listed(List<Row> rows) {
         List<Spot> spots = new ArrayList<>();
         rows.forEach(row -> spots.add(new Spot(row.host(), row.port())));
--- a/src/main/java/larchridge/node/NodeFile.java
+++ b/src/main/java/larchridge/node/NodeFile.java
@@ -95,16 +95,11 @@
 
     private static Spot spot(Path file, JsonNode root, String member) throws BadNode {
         String text = text(file, root, member);
-        int colon = text.lastIndexOf(':');
-        try {
-            int port = Integer.parseInt(text.substring(colon + 1));
-            if (colon > 0 && port >= 0 && port < 65536) {
-                return new Spot(text.substring(0, colon), port);
-            }
-        } catch (NumberFormatException e) {
-            // Told below, as any other fault of it.
+        Spot spot = Spot.parse(text);
+        if (spot == null) {
+            throw new BadNode(file + ": " + member + " is '" + text + "'; expected host:port");
         }
-        throw new BadNode(file + ": " + member + " is '" + text + "'; expected host:port");
+        return spot;
     }
 
     private static long seed(Path file, JsonNode root) throws BadNode {
--- a/src/main/java/larchridge/node/Rehearsal.java
+++ b/src/main/java/larchridge/node/Rehearsal.java
@@ -8,30 +8,23 @@
 import io.netty.util.AttributeKey;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.Deque;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 import larchridge.enginelink.Spot;
 import larchridge.front.Decider;
 import larchridge.front.Front;
 import larchridge.front.Ground;
+import larchridge.front.World;
 import larchridge.inventory.Row;
 import larchridge.metrics.Meters;
 import larchridge.node.door.Door;
 import larchridge.node.door.DoorBounds;
 import larchridge.node.link.LinkBounds;
 import larchridge.node.link.PassageLink;
-import larchridge.site.Offer;
 import larchridge.site.Site;
 import larchridge.state.Mode;
-import larchridge.state.Product;
 import larchridge.state.Role;
 import larchridge.terms.BadTerms;
 import larchridge.terms.Given;
@@ -63,7 +56,7 @@
 
     private static final AttributeKey<Boolean> BUSY = AttributeKey.valueOf("rehearsal.busy");
 
-    private final Time time = new Time();
+    private final World time = new World();
     private final Door door;
     private final List<EmbeddedChannel> engines = new ArrayList<>();
     private final Set<EmbeddedChannel> answering = new HashSet<>();
@@ -76,25 +69,21 @@
 
     private Rehearsal() throws BadTerms, IOException {
         Given given = Given.read(new ObjectMapper().readTree(TERMS), 1);
+        Ground ground = time.ground(0, given.terms.seed);
         Site site = Site.plain(given.terms);
         site.limit.openGenerations = 1000;
         site.limit.slowClientMs = 1e6;
         site.limit.quietStreamMs = 1e6;
         site.limit.stopMs = 1e6;
         site.releaseMs = given.releaseMs;
-        PassageLink link = new PassageLink(time, new LinkBounds(given.connectMs, given.keepAliveMs, given.releaseMs,
+        PassageLink link = new PassageLink(ground, new LinkBounds(given.connectMs, given.keepAliveMs, given.releaseMs,
                 400, 200, given.reportFields), (spot, handlers) -> {
             EmbeddedChannel engine = new EmbeddedChannel(handlers);
             engines.add(engine);
             return engine.newSucceededFuture();
         });
-        Front front = new Front(time, site, 0, link, new Meters(new CompositeMeterRegistry()), Decider::choice);
-        Map<String, Offer> offers = new HashMap<>();
-        for (Product product : given.products.values()) {
-            offers.put(product.name, new Offer(product, product, product.name, Double.POSITIVE_INFINITY, 0,
-                    Integer.MAX_VALUE, null));
-        }
-        door = new Door(null, null, time, front, site, offers, new DoorBounds(400, 1 << 18, 1 << 22, 1e6, 1e6));
+        Front front = new Front(ground, site, 0, link, new Meters(new CompositeMeterRegistry()), Decider::choice);
+        door = new Door(null, null, ground, front, site, given.products.values(), new DoorBounds(400, 1 << 18, 1 << 22, 1e6, 1e6));
         List<Row> rows = new ArrayList<>();
         for (int i = 0; i < ENGINES; i++) {
             Role role = i % 3 == 0 ? Role.READER : i % 3 == 1 ? Role.WRITER : Role.BOTH;
@@ -170,7 +159,7 @@
 
     /** Some rehearsed time passes; engines answer what they were sent, and clients take what they are given. */
     private void step() {
-        time.pass(STEP_MS);
+        time.run(time.sinceMs() + STEP_MS);
         for (EmbeddedChannel engine : List.copyOf(engines)) {
             engine.runPendingTasks();
             ByteBuf request = read(engine);
@@ -253,70 +242,4 @@
         }
         return all;
     }
-
-    /** Rehearsed time: it passes when it is told to. */
-    private static final class Time implements Ground {
-        private record Step(double atMs, long number, Runnable run) { }
-
-        private final PriorityQueue<Step> steps = new PriorityQueue<>(
-                Comparator.comparingDouble(Step::atMs).thenComparingLong(Step::number));
-        private final Deque<Runnable> next = new ArrayDeque<>();
-        private final Set<Long> called = new HashSet<>();
-        private double nowMs = 1e12;
-        private long last;
-
-        void pass(double ms) {
-            double until = nowMs + ms;
-            runNext();
-            while (!steps.isEmpty() && steps.peek().atMs <= until) {
-                Step step = steps.poll();
-                nowMs = Math.max(nowMs, step.atMs);
-                if (!called.remove(step.number)) {
-                    step.run.run();
-                }
-                runNext();
-            }
-            nowMs = until;
-        }
-
-        private void runNext() {
-            for (Runnable step = next.poll(); step != null; step = next.poll()) {
-                step.run();
-            }
-        }
-
-        @Override
-        public double nowMs() {
-            return nowMs;
-        }
-
-        @Override
-        public long in(double ms, Runnable step) {
-            steps.add(new Step(nowMs + Math.max(1, ms), ++last, step));
-            return last;
-        }
-
-        @Override
-        public void cancel(long number) {
-            called.add(number);
-        }
-
-        @Override
-        public void later(Runnable step) {
-            next.add(step);
-        }
-
-        @Override
-        public void every(double ms, Runnable step) {
-            in(ms, () -> {
-                step.run();
-                every(ms, step);
-            });
-        }
-
-        @Override
-        public String stem() {
-            return "rehearsal-";
-        }
-    }
 }
--- a/src/main/java/larchridge/node/discovery/Agent.java
+++ b/src/main/java/larchridge/node/discovery/Agent.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -158,10 +159,8 @@
                 failed("answer " + response.status().code());
                 return;
             }
-            byte[] body = new byte[response.content().readableBytes()];
-            response.content().readBytes(body);
             try {
-                EndpointReader.Told list = reader.read(body);
+                EndpointReader.Told list = reader.read(ByteBufUtil.getBytes(response.content()));
                 if (whole && !list.whole()) {
                     failed("changes where the whole list was asked for");
                     return;
--- a/src/main/java/larchridge/node/discovery/EndpointReader.java
+++ b/src/main/java/larchridge/node/discovery/EndpointReader.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import larchridge.enginelink.Spot;
 import larchridge.inventory.Row;
 import larchridge.state.Mode;
 import larchridge.state.Role;
@@ -71,9 +72,8 @@
                     + "'; expected SERVING, DRAINING or DELETED");
         };
         String address = entry.path("address").asText("");
-        int colon = address.lastIndexOf(':');
-        int port = port(address.substring(colon + 1));
-        if ((colon <= 0 || port <= 0) && mode != Mode.GONE) {
+        Spot spot = Spot.parse(address);
+        if ((spot == null || spot.port() == 0) && mode != Mode.GONE) {
             throw new BadList(where + ".address is '" + address + "'; expected host:port");
         }
         double weight = entry.path("weight").asDouble(1);
@@ -82,20 +82,11 @@
             throw new BadList(where + ": weight or since_ms is out of range");
         }
         String kind = entry.path("type").asText("");
-        return new Row(number(name), colon <= 0 ? "" : address.substring(0, colon), port,
+        return new Row(number(name), spot == null ? "" : spot.host(), spot == null ? -1 : spot.port(),
                 roles.getOrDefault(kind, Role.BOTH), entry.path("zone").asText(""), entry.path("group").asLong(0),
                 weight, memory.getOrDefault(kind, Double.NaN), start, mode);
     }
 
-    private static int port(String text) {
-        try {
-            int port = Integer.parseInt(text);
-            return port > 0 && port < 65536 ? port : -1;
-        } catch (NumberFormatException e) {
-            return -1;
-        }
-    }
-
     /** A number for a name, alike at every node: FNV-1a of 64 bits. */
     static long number(String name) {
         long hash = 0xCBF29CE484222325L;
--- a/src/main/java/larchridge/node/door/Door.java
+++ b/src/main/java/larchridge/node/door/Door.java
@@ -8,8 +8,9 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +19,7 @@
 import larchridge.front.Ground;
 import larchridge.site.Offer;
 import larchridge.site.Site;
+import larchridge.state.Product;
 
 /**
  * Clients' side of a node: the listener, its connections and their bounds. What one connection says is read by its
@@ -29,7 +31,7 @@
 
     final Front front;
     final Site site;
-    final Map<String, Offer> offers;
+    final Map<String, Offer> offers = new HashMap<>();
     final DoorBounds bounds;
     final Ground ground;
     private final EventLoopGroup loop;
@@ -37,30 +39,27 @@
     /** Connections without a request, longest first. */
     private final Set<Guest> idle = new LinkedHashSet<>();
     private final Set<Guest> all = new LinkedHashSet<>();
-    /** Ids of the generations that were taken last: none is taken twice. */
-    private final Map<String, Boolean> ids = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            // Ids of open generations are not let go of, however many come after them.
-            return size() > IDS && !eldest.getValue();
-        }
-    };
+    /** Ids of open generations, and of those that ended last: none is taken twice. */
+    private final Set<String> openIds = new HashSet<>();
+    private final Set<String> endedIds = new LinkedHashSet<>();
     private Channel listener;
     private long heldBytes;
     private boolean ready;
     private boolean closing;
 
     public Door(EventLoopGroup loop, ByteBufAllocator buffers, Ground ground, Front front, Site site,
-                Map<String, Offer> offers, DoorBounds bounds) {
+                Collection<Product> products, DoorBounds bounds) {
         this.loop = loop;
         this.buffers = buffers;
         this.ground = ground;
         this.front = front;
         this.site = site;
-        this.offers = offers;
         this.bounds = bounds;
+        for (Product product : products) {
+            // Each request brings its own time limit.
+            offers.put(product.name, new Offer(product, product, product.name, Double.POSITIVE_INFINITY, 0,
+                    Integer.MAX_VALUE, null));
+        }
         ground.every(LOOK_MS, this::look);
     }
 
@@ -161,26 +160,14 @@
 
     /** Notes an id as taken; false if it was taken lately or still is. */
     boolean takeId(String id) {
-        if (ids.containsKey(id)) {
-            return false;
-        }
-        ids.put(id, true);
-        if (ids.size() > 2 * IDS) {
-            trim();
-        }
-        return true;
+        return !endedIds.contains(id) && openIds.add(id);
     }
 
     void endId(String id) {
-        ids.replace(id, false);
-    }
-
-    private void trim() {
-        Iterator<Boolean> values = ids.values().iterator();
-        while (ids.size() > IDS && values.hasNext()) {
-            if (!values.next()) {
-                values.remove();
-            }
+        openIds.remove(id);
+        endedIds.add(id);
+        if (endedIds.size() > IDS) {
+            endedIds.remove(endedIds.iterator().next());
         }
     }
 }
--- a/src/main/java/larchridge/node/door/Guest.java
+++ b/src/main/java/larchridge/node/door/Guest.java
@@ -386,11 +386,6 @@
             channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(whole)));
         }
 
-        @Override
-        public int gathered() {
-            return 0;
-        }
-
         @Override
         public void soFar() {
             channel.flush();
@@ -401,12 +396,6 @@
             return !channel.isActive();
         }
 
-        @Override
-        public void budget(Answer budget) {
-            // No budgets here.
-            return;
-        }
-
         @Override
         public void overBudget(Answer budget) {
             throttled(0);
--- a/src/main/java/larchridge/node/link/Call.java
+++ b/src/main/java/larchridge/node/link/Call.java
@@ -10,7 +10,9 @@
     FullHttpRequest request();
 
     /** Its last byte went to the socket. */
-    void written();
+    default void written() {
+        return;
+    }
 
     /** The head of the answer; false if it can't be used. */
     boolean head(HttpResponse response);
@@ -22,7 +24,9 @@
     boolean whole();
 
     /** All of one read was told. */
-    void paused();
+    default void paused() {
+        return;
+    }
 
     /** What came can't be read. The connection is closed by the one that tells. */
     void garbled();
--- a/src/main/java/larchridge/node/link/PassageLink.java
+++ b/src/main/java/larchridge/node/link/PassageLink.java
@@ -5,6 +5,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -62,6 +63,7 @@
     private static final int TALES = 20_000;
     /** A release is tried this many times within the time that a state may be held. */
     private static final int RELEASE_TRIES = 5;
+    private static final byte[] NOTHING = new byte[0];
     private static final Waiting WAITING = new Waiting();
 
     private final Ground ground;
@@ -211,8 +213,9 @@
         pools.values().removeIf(pool -> pool.isEmpty() && !spots.contains(pool.spot));
     }
 
-    private FullHttpRequest bare(HttpMethod method, String target, Spot spot) {
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, target, Unpooled.EMPTY_BUFFER);
+    private static FullHttpRequest request(Spot spot, HttpMethod method, String target, byte[] body) {
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, target,
+                Unpooled.wrappedBuffer(body));
         request.headers().set(HttpHeaderNames.HOST, spot.toString());
         return request;
     }
@@ -277,11 +280,9 @@
                 endLater();
                 return null;
             }
-            ByteBuf body = Unpooled.wrappedBuffer(passage.body());
-            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-                    HttpMethod.valueOf(passage.method()), passage.target(), body);
-            request.headers().set(HttpHeaderNames.HOST, order.spot().toString()).set(ID, passage.id())
-                    .set(LEFT, Long.toString((long) left))
+            FullHttpRequest request = PassageLink.request(order.spot(), HttpMethod.valueOf(passage.method()),
+                    passage.target(), passage.body());
+            request.headers().set(ID, passage.id()).set(LEFT, Long.toString((long) left))
                     .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
                     .set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(passage.body().length));
             return request;
@@ -305,9 +306,7 @@
         public boolean body(ByteBuf some) {
             if (verdict.status() == 202) {
                 note = note == null ? new ByteArrayOutputStream(64) : note;
-                byte[] bytes = new byte[some.readableBytes()];
-                some.getBytes(some.readerIndex(), bytes);
-                note.write(bytes, 0, bytes.length);
+                note.writeBytes(ByteBufUtil.getBytes(some));
                 return note.size() <= BODY_BYTES;
             }
             if (verdict.status() != 200) {
@@ -459,8 +458,7 @@
         }
         tale.owed = true;
         tale.holder = spot;
-        Tale own = tale;
-        ground.later(() -> settle(own));
+        settle(tale);
     }
 
     /**
@@ -575,13 +573,7 @@
 
         @Override
         public FullHttpRequest request() {
-            return over ? null : bare(method, target, spot);
-        }
-
-        @Override
-        public void written() {
-            // Nothing hangs on it: a second one is harmless.
-            return;
+            return over ? null : PassageLink.request(spot, method, target, NOTHING);
         }
 
         @Override
@@ -592,9 +584,7 @@
 
         @Override
         public boolean body(ByteBuf some) {
-            byte[] bytes = new byte[some.readableBytes()];
-            some.getBytes(some.readerIndex(), bytes);
-            body.write(bytes, 0, bytes.length);
+            body.writeBytes(ByteBufUtil.getBytes(some));
             return body.size() <= BODY_BYTES;
         }
 
@@ -605,11 +595,6 @@
             return true;
         }
 
-        @Override
-        public void paused() {
-            return;
-        }
-
         @Override
         public void garbled() {
             end(null);
--- a/src/main/java/larchridge/node/link/Pool.java
+++ b/src/main/java/larchridge/node/link/Pool.java
@@ -29,7 +29,7 @@
     /** A connection at rest that can be used, or null. */
     Wire take() {
         double now = link.nowMs();
-        double limit = link.bounds().keepAliveMs() * IDLE_PART;
+        double limit = idleLimitMs();
         for (Wire wire : idle) {
             if (now - wire.idleSinceMs >= limit) {
                 break;
@@ -67,11 +67,7 @@
         return all.size();
     }
 
-    int idle() {
-        return idle.size();
-    }
-
-    /** Closes what has rested for too long, or the one that has rested longest; tells how many. */
+    /** Closes those that have rested since then or longer. */
     void closeOld(double sinceMs) {
         while (!idle.isEmpty() && idle.peekLast().idleSinceMs <= sinceMs) {
             idle.pollLast().close();
--- a/src/main/java/larchridge/node/link/Verdict.java
+++ b/src/main/java/larchridge/node/link/Verdict.java
@@ -21,10 +21,6 @@
         written = true;
     }
 
-    boolean isWritten() {
-        return written;
-    }
-
     /** The head of the answer came; declined is the engine's own word that it did not run the request. */
     void head(int code, boolean saysNotRun) {
         status = code;
--- a/src/main/java/larchridge/terms/Given.java
+++ b/src/main/java/larchridge/terms/Given.java
@@ -32,7 +32,6 @@
     /** After so long without use an engine closes a connection. */
     public double keepAliveMs;
     public double drainGraceMs;
-    public double answerGraceMs;
     /** Within this a held state is to be used or let go of. */
     public double releaseMs;
 
@@ -74,7 +73,6 @@
         given.connectMs = ms(limits, "dial_timeout_s", 1);
         given.keepAliveMs = ms(limits, "keepalive_s", 15);
         given.drainGraceMs = ms(rules, "stop_sending_within_s", 0);
-        given.answerGraceMs = ms(rules, "grace_to_answer_s", 0);
         given.releaseMs = ms(family, "release_within_s", 1);
         return given;
     }
@@ -128,15 +126,15 @@
     }
 
     /** A load report from its figures by name; a figure that is not there is NaN. */
-    public static Report report(Figures figures) {
+    public static <E extends Exception> Report report(Figures<E> figures) throws E {
         return new Report(figures.named("concurrent"), figures.named("depth"), figures.named("x0"),
                 figures.named("x1") * 1000);
     }
 
     /** Figures by the names that the settings use. */
-    public interface Figures {
+    public interface Figures<E extends Exception> {
         /** The figure, or NaN. */
-        double named(String name);
+        double named(String name) throws E;
     }
 
     private static double ms(JsonNode node, String key, double fallbackSeconds) throws BadTerms {
--- a/src/main/java/larchridge/virtual/Day.java
+++ b/src/main/java/larchridge/virtual/Day.java
@@ -19,6 +19,7 @@
 import larchridge.front.Decider;
 import larchridge.front.Front;
 import larchridge.front.Open;
+import larchridge.front.World;
 import larchridge.metrics.Meters;
 import larchridge.site.BadSite;
 import larchridge.site.Site;
@@ -225,7 +226,7 @@
                     prompt.toks, shared, 2 * mix.outToks() + 2, List.of(), new Order.Sampling(null, null, null),
                     shared > 0 ? mix.name() + session.prefix : null, session.opening, session.last,
                     session.opening + "/" + text, whole, number > 0, mix.limitMs() + (whole ? (2 * mix.outToks() + 2) * 60 : 0),
-                    operation, 0, ignored -> { });
+                    operation, 0, ignored -> { }, null);
             at.take(ask, this, taken -> open = taken);
             if (left && open != null) {
                 open.gone();
@@ -304,26 +305,11 @@
             return true;
         }
 
-        @Override
-        public int gathered() {
-            return 0;
-        }
-
-        @Override
-        public void soFar() {
-            return;
-        }
-
         @Override
         public boolean isGone() {
             return left;
         }
 
-        @Override
-        public void budget(Answer budget) {
-            return;
-        }
-
         @Override
         public void overBudget(Answer budget) {
             end("throttled", true);
--- a/src/main/java/larchridge/virtual/Log.java
+++ b/src/main/java/larchridge/virtual/Log.java
@@ -7,6 +7,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import larchridge.drill.Seen;
+import larchridge.front.World;
 
 /** What was seen in virtual time, in order, and a digest of all of it; at most so much is kept, beyond that only digested. */
 final class Log {
--- a/src/main/java/larchridge/virtual/Town.java
+++ b/src/main/java/larchridge/virtual/Town.java
@@ -18,6 +18,7 @@
 import larchridge.enginelink.Order;
 import larchridge.enginelink.Spot;
 import larchridge.enginelink.StateHandle;
+import larchridge.front.World;
 import larchridge.inventory.Row;
 import larchridge.standin.Make;
 import larchridge.state.Mode;
--- a/src/test/java/larchridge/node/NodeTest.java
+++ b/src/test/java/larchridge/node/NodeTest.java
@@ -51,13 +51,40 @@
         return all.toString();
     }
 
+    /** The next answer there is a whole stream; gives its bytes. */
+    private static String served(Scene.Guest client) throws IOException {
+        String answer = client.until("0\r\n\r\n");
+        assertTrue(answer.startsWith("HTTP/1.1 200 "));
+        return answer;
+    }
+
+    /** Readers' answers wait until the gate is opened. */
+    private Gate gateReads() {
+        Gate gate = new Gate(new CountDownLatch(1), new CountDownLatch(1));
+        scene.reader.script = seen -> {
+            gate.asked.countDown();
+            await(gate.open);
+            return new Reply(Scene.read(0), true);
+        };
+        return gate;
+    }
+
+    private record Gate(CountDownLatch asked, CountDownLatch open) { }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            assertTrue(latch.await(8, TimeUnit.SECONDS));
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     @Test
     void requestGoesUnchangedToReaderThenWriterAndEventsComeBackAsTheyWere() throws Exception {
         String id = Scene.id();
         Scene.Guest client = scene.client();
         client.send(Scene.ask(id, ""));
-        String answer = client.until("0\r\n\r\n");
-        assertTrue(answer.startsWith("HTTP/1.1 200 "));
+        String answer = served(client);
         assertEquals(Scene.EVENT + Scene.EVENT + Scene.END, events(answer));
         for (Scene.Actor engine : new Scene.Actor[] {scene.reader, scene.writer}) {
             Seen seen = engine.next("POST");
@@ -69,7 +96,7 @@
         }
         // The same connection serves the next request, and nothing of the first is left to let go of.
         client.send(Scene.ask(Scene.id(), ""));
-        assertTrue(client.until("0\r\n\r\n").startsWith("HTTP/1.1 200 "));
+        served(client);
         assertTrue(scene.writer.seen.stream().noneMatch(seen -> seen.method().equals("DELETE")));
     }
 
@@ -78,7 +105,7 @@
         Scene.Guest client = scene.client();
         client.send(Scene.ask(Scene.id(), "") + Scene.ask(Scene.id(), "") + "GET /up HTTP/1.1\r\nHost: n\r\n\r\n");
         for (int i = 0; i < 2; i++) {
-            assertTrue(client.until("0\r\n\r\n").startsWith("HTTP/1.1 200 "));
+            served(client);
         }
         assertTrue(client.answer().startsWith("HTTP/1.1 200 "));
     }
@@ -93,7 +120,7 @@
                     : new Reply(Scene.GOOD + Scene.chunk(Scene.EVENT + Scene.END) + "0\r\n\r\n", true);
             Scene.Guest client = scene.client();
             client.send(Scene.ask(Scene.id(), ""));
-            assertEquals(Scene.EVENT + Scene.END, events(client.until("0\r\n\r\n")), noise.substring(0, 8));
+            assertEquals(Scene.EVENT + Scene.END, events(served(client)), noise.substring(0, 8));
             assertEquals(2, calls.get());
         }
     }
@@ -123,7 +150,7 @@
         Scene.Guest client = scene.client();
         for (int i = 0; i < 2; i++) {
             client.send(Scene.ask(Scene.id(), ""));
-            assertEquals(Scene.EVENT + Scene.END, events(client.until("0\r\n\r\n")));
+            assertEquals(Scene.EVENT + Scene.END, events(served(client)));
         }
         Seen first = scene.writer.next("POST");
         assertNotEquals(first.connection(), scene.writer.next("POST").connection());
@@ -136,7 +163,7 @@
                 : new Reply(Scene.GOOD + Scene.chunk(Scene.EVENT + Scene.END) + "0\r\n\r\n", true);
         Scene.Guest client = scene.client();
         client.send(Scene.ask(Scene.id(), ""));
-        assertTrue(client.until("0\r\n\r\n").startsWith("HTTP/1.1 200 "));
+        served(client);
         scene.reader.next("POST");
         scene.reader.next("POST");
     }
@@ -153,13 +180,12 @@
         scene.reader.script = seen -> new Reply(Scene.read(0), true);
         Scene.Guest other = scene.client();
         other.send(Scene.ask(Scene.id(), ""));
-        assertTrue(other.until("0\r\n\r\n").startsWith("HTTP/1.1 200 "));
+        served(other);
     }
 
     @Test
     void clientThatLeavesHasItsStateLetGo() throws Exception {
         CountDownLatch reading = new CountDownLatch(1);
-        CountDownLatch left = new CountDownLatch(1);
         scene.writer.script = seen -> {
             reading.countDown();
             return new Reply(null, true);
@@ -167,9 +193,8 @@
         String id = Scene.id();
         Scene.Guest client = scene.client();
         client.send(Scene.ask(id, ""));
-        assertTrue(reading.await(5, TimeUnit.SECONDS));
+        await(reading);
         client.close();
-        left.countDown();
         assertEquals("/v1/holds/" + id, scene.reader.next("DELETE").target());
     }
 
@@ -228,34 +253,20 @@
 
     @Test
     void idOfAnOpenGenerationIsRefusedAndTheFirstIsUntouched() throws Exception {
-        CountDownLatch asked = new CountDownLatch(1);
-        CountDownLatch go = new CountDownLatch(1);
-        scene.reader.script = seen -> {
-            asked.countDown();
-            await(go);
-            return new Reply(Scene.read(0), true);
-        };
+        Gate gate = gateReads();
         String id = Scene.id();
         Scene.Guest first = scene.client();
         first.send(Scene.ask(id, ""));
-        assertTrue(asked.await(5, TimeUnit.SECONDS));
+        await(gate.asked);
         Scene.Guest second = scene.client();
         second.send(Scene.ask(id, ""));
         assertTrue(second.rest().startsWith("HTTP/1.1 409 "));
-        go.countDown();
-        assertTrue(first.until("0\r\n\r\n").startsWith("HTTP/1.1 200 "));
+        gate.open.countDown();
+        served(first);
         assertEquals(id, scene.reader.next("POST").header("Req-Id"));
         assertTrue(scene.reader.seen.isEmpty());
     }
 
-    private static void await(CountDownLatch latch) {
-        try {
-            assertTrue(latch.await(8, TimeUnit.SECONDS));
-        } catch (InterruptedException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     @Test
     void hundredsOfSilentConnectionsAreEndedAndUsualClientsServedBesideThem() throws Exception {
         long start = System.nanoTime();
@@ -266,7 +277,7 @@
             if (i % 50 == 0) {
                 Scene.Guest usual = scene.client();
                 usual.send(Scene.ask(Scene.id(), ""));
-                assertTrue(usual.until("0\r\n\r\n").startsWith("HTTP/1.1 200 "));
+                served(usual);
             }
             if (i == 299) {
                 silent.rest();
@@ -288,12 +299,11 @@
             int before = scene.discovery.seen.size();
             while (scene.discovery.seen.size() < before + 2) {
                 // The watch behind the one that told: what was told has been taken.
-                scene.discovery.seen.peek();
                 Thread.onSpinWait();
             }
             scene.reader.seen.clear();
             client.send(Scene.ask(Scene.id(), ""));
-            assertTrue(client.until("0\r\n\r\n").startsWith("HTTP/1.1 200 "));
+            served(client);
             other.next("POST");
             assertTrue(scene.reader.seen.isEmpty());
         }
@@ -313,25 +323,19 @@
 
     @Test
     void endAnswersAllThatCameAndSaysSo() throws Exception {
-        CountDownLatch asked = new CountDownLatch(1);
-        CountDownLatch go = new CountDownLatch(1);
-        scene.reader.script = seen -> {
-            asked.countDown();
-            await(go);
-            return new Reply(Scene.read(0), true);
-        };
+        Gate gate = gateReads();
         Scene.Guest busy = scene.client();
         Scene.Guest rests = scene.client();
         rests.send("GET /up HTTP/1.1\r\nHost: n\r\n\r\n");
         assertTrue(rests.answer().startsWith("HTTP/1.1 200 "));
         busy.send(Scene.ask(Scene.id(), ""));
-        assertTrue(asked.await(5, TimeUnit.SECONDS));
+        await(gate.asked);
         scene.node.end();
         assertEquals("", rests.rest());
         Scene.Guest late = scene.client();
         late.send("GET /up HTTP/1.1\r\nHost: n\r\n\r\n");
         assertTrue(late.rest().startsWith("HTTP/1.1 503 "));
-        go.countDown();
+        gate.open.countDown();
         assertTrue(busy.rest().endsWith("0\r\n\r\n"));
         scene.node.awaitEnd();
         assertThrows(IOException.class, () -> scene.client());
@@ -371,7 +375,7 @@
         Scene.Guest client = scene.client();
         for (int i = 0; i < 1500; i++) {
             client.send(Scene.ask(Scene.id(), "").replace("k1", "k" + i).replace("prefix=p1", "prefix=p" + i));
-            assertTrue(client.until("0\r\n\r\n").startsWith("HTTP/1.1 200 "));
+            served(client);
             scene.reader.seen.clear();
             scene.writer.seen.clear();
         }
