--- a/src/main/java/larchridge/node/door/Guest.java
+++ b/src/main/java/larchridge/node/door/ClientConnection.java
@@ -35,7 +35,7 @@
 import larchridge.site.Offer;
 
 /** One client connection: one request at a time, what is sent ahead waits within a bound. */
-final class Guest extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter {
     private static final String PATH = "/v1/chat/completions";
     private static final int FIRST_BYTES = 4096;
 
@@ -55,7 +55,7 @@
     private final Deque<HttpObject> ahead = new ArrayDeque<>();
     private int aheadBytes;
 
-    Guest(Door door, Channel channel) {
+    ClientConnection(Door door, Channel channel) {
         this.door = door;
         this.channel = channel;
         enteredMs = door.ground.nowMs();
@@ -187,14 +187,14 @@
             refuse(HttpResponseStatus.METHOD_NOT_ALLOWED, "POST is expected");
             return;
         }
-        Wish wish;
+        RequestHead asked;
         try {
-            wish = Wish.read(request.headers());
-        } catch (Wish.BadHead e) {
+            asked = RequestHead.read(request.headers());
+        } catch (RequestHead.BadHead e) {
             refuse(HttpResponseStatus.BAD_REQUEST, e.getMessage());
             return;
         }
-        Offer offer = door.offers.get(wish.product());
+        Offer offer = door.offers.get(asked.product());
         if (offer == null) {
             refuse(HttpResponseStatus.BAD_REQUEST, "Req-Kind: no such class");
             return;
@@ -208,18 +208,18 @@
             answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much at once", 0, !HttpUtil.isKeepAlive(request));
             return;
         }
-        if (!door.takeId(wish.id())) {
+        if (!door.takeId(asked.id())) {
             // Danger: a second request under an open one's id would be its second copy, and its release the other's.
             door.front.leave();
             refuse(HttpResponseStatus.CONFLICT, "Req-Id: was used before");
             return;
         }
         int bytes = length;
-        Passage passage = new Passage("POST", target, wish.id(), body(), headMs + wish.deadlineMs());
-        Exchange own = new Exchange(wish.id(), bytes, !HttpUtil.isKeepAlive(request));
+        Passage passage = new Passage("POST", target, asked.id(), body(), headMs + asked.deadlineMs());
+        Exchange own = new Exchange(asked.id(), bytes, !HttpUtil.isKeepAlive(request));
         exchange = own;
-        door.front.take(Ask.passing(offer, door.site.guest, passage, wish.promptToks(), wish.sharedToks(),
-                wish.maxToks(), wish.prefix(), wish.session(), wish.resent(), wish.deadlineMs(),
+        door.front.take(Ask.passing(offer, door.site.guest, passage, asked.promptToks(), asked.sharedToks(),
+                asked.maxToks(), asked.prefix(), asked.session(), asked.resent(), asked.deadlineMs(),
                 door.ground.nowMs() - headMs), own, open -> own.open = open);
     }
 
--- a/src/main/java/larchridge/node/door/Door.java
+++ b/src/main/java/larchridge/node/door/Door.java
@@ -23,7 +23,7 @@
 
 /**
  * Clients' side of a node: the listener, its connections and their bounds. What one connection says is read by its
- * {@link Guest}. All methods run on the loop.
+ * {@link ClientConnection}. All methods run on the loop.
  */
 public final class Door {
     private static final int IDS = 4096;
@@ -37,8 +37,8 @@
     private final EventLoopGroup loop;
     private final ByteBufAllocator buffers;
     /** Connections without a request, longest first. */
-    private final Set<Guest> idle = new LinkedHashSet<>();
-    private final Set<Guest> all = new LinkedHashSet<>();
+    private final Set<ClientConnection> idle = new LinkedHashSet<>();
+    private final Set<ClientConnection> all = new LinkedHashSet<>();
     /** Ids of open generations, and of those that ended last: none is taken twice. */
     private final Set<String> openIds = new HashSet<>();
     private final Set<String> endedIds = new LinkedHashSet<>();
@@ -92,8 +92,8 @@
     /** Says that no more is wanted, still takes what comes, and keeps no connection without a request. */
     public void close() {
         closing = true;
-        for (Guest guest : List.copyOf(idle)) {
-            guest.leave();
+        for (ClientConnection client : List.copyOf(idle)) {
+            client.leave();
         }
     }
 
@@ -116,35 +116,35 @@
 
     /** Takes a client's connection. */
     public void enter(Channel channel) {
-        Guest guest = new Guest(this, channel);
-        channel.pipeline().addLast(new StrictDecoder(), new HttpResponseEncoder(), guest);
-        all.add(guest);
-        idle.add(guest);
+        ClientConnection client = new ClientConnection(this, channel);
+        channel.pipeline().addLast(new StrictDecoder(), new HttpResponseEncoder(), client);
+        all.add(client);
+        idle.add(client);
         if (all.size() > bounds.connections()) {
             // The one that has been without a request for longest makes room; it may be this one.
             idle.iterator().next().leave();
         }
     }
 
-    void busy(Guest guest) {
-        idle.remove(guest);
+    void busy(ClientConnection client) {
+        idle.remove(client);
     }
 
-    void idle(Guest guest) {
-        if (all.contains(guest)) {
-            idle.add(guest);
+    void idle(ClientConnection client) {
+        if (all.contains(client)) {
+            idle.add(client);
         }
     }
 
-    void left(Guest guest) {
-        idle.remove(guest);
-        all.remove(guest);
+    void left(ClientConnection client) {
+        idle.remove(client);
+        all.remove(client);
     }
 
     private void look() {
         double now = ground.nowMs();
-        for (Guest guest : List.copyOf(all)) {
-            guest.look(now);
+        for (ClientConnection client : List.copyOf(all)) {
+            client.look(now);
         }
     }
 
--- a/src/main/java/larchridge/node/door/Wish.java
+++ b/src/main/java/larchridge/node/door/RequestHead.java
@@ -15,7 +15,7 @@
  * @param maxToks     the most that the answer may hold
  * @param resent      whether the client says that it asks again
  */
-record Wish(String id, String product, String session, double deadlineMs, String prefix, int promptToks,
+record RequestHead(String id, String product, String session, double deadlineMs, String prefix, int promptToks,
             int sharedToks, int maxToks, boolean resent) {
     static final String ID = "Req-Id";
     private static final int MOST_TOKS = 10_000_000;
@@ -31,7 +31,7 @@
         }
     }
 
-    static Wish read(HttpHeaders head) throws BadHead {
+    static RequestHead read(HttpHeaders head) throws BadHead {
         String id = one(head, ID);
         if (id == null || !id.matches("[0-9a-fA-F]{16}")) {
             throw new BadHead("Req-Id: expected 16 hex digits");
@@ -68,7 +68,7 @@
             throw new BadHead("Req-Extra: expected prompt_len and max_out");
         }
         String again = one(head, "Req-Retry");
-        return new Wish(id, product, session == null ? id : session, deadline, prefix, prompt,
+        return new RequestHead(id, product, session == null ? id : session, deadline, prefix, prompt,
                 Math.min(shared, prompt), most, again != null);
     }
 
--- a/src/test/java/larchridge/node/NodeTest.java
+++ b/src/test/java/larchridge/node/NodeTest.java
@@ -52,7 +52,7 @@
     }
 
     /** The next answer there is a whole stream; gives its bytes. */
-    private static String served(Scene.Guest client) throws IOException {
+    private static String served(Scene.RawClient client) throws IOException {
         String answer = client.until("0\r\n\r\n");
         assertTrue(answer.startsWith("HTTP/1.1 200 "));
         return answer;
@@ -82,7 +82,7 @@
     @Test
     void requestGoesUnchangedToReaderThenWriterAndEventsComeBackAsTheyWere() throws Exception {
         String id = Scene.id();
-        Scene.Guest client = scene.client();
+        Scene.RawClient client = scene.client();
         client.send(Scene.ask(id, ""));
         String answer = served(client);
         assertEquals(Scene.EVENT + Scene.EVENT + Scene.END, events(answer));
@@ -102,7 +102,7 @@
 
     @Test
     void requestsSentAheadAreAnsweredInTheirOrder() throws Exception {
-        Scene.Guest client = scene.client();
+        Scene.RawClient client = scene.client();
         client.send(Scene.ask(Scene.id(), "") + Scene.ask(Scene.id(), "") + "GET /up HTTP/1.1\r\nHost: n\r\n\r\n");
         for (int i = 0; i < 2; i++) {
             served(client);
@@ -118,7 +118,7 @@
             calls.set(0);
             scene.writer.script = seen -> calls.getAndIncrement() == 0 ? new Reply(noise, true)
                     : new Reply(Scene.GOOD + Scene.chunk(Scene.EVENT + Scene.END) + "0\r\n\r\n", true);
-            Scene.Guest client = scene.client();
+            Scene.RawClient client = scene.client();
             client.send(Scene.ask(Scene.id(), ""));
             assertEquals(Scene.EVENT + Scene.END, events(served(client)), noise.substring(0, 8));
             assertEquals(2, calls.get());
@@ -132,7 +132,7 @@
             new Reply(first, false), new Reply(first + "0\r\n\r\n", true), new Reply(first + Scene.chunk("noise\n\n"), true),
             new Reply(first + "5\r\nabcdefgh\r\n", true)}) {
             scene.writer.script = seen -> bad;
-            Scene.Guest client = scene.client();
+            Scene.RawClient client = scene.client();
             client.send(Scene.ask(Scene.id(), ""));
             String all = client.rest();
             assertTrue(all.startsWith("HTTP/1.1 200 "), bad.bytes());
@@ -147,7 +147,7 @@
         String good = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + Scene.GOOD + Scene.chunk(Scene.EVENT + Scene.END) + "0\r\n\r\n";
         scene.writer.script = seen -> new Reply(calls.getAndIncrement() == 0 ? good + Scene.answer("200 OK", "stray") : good,
                 true);
-        Scene.Guest client = scene.client();
+        Scene.RawClient client = scene.client();
         for (int i = 0; i < 2; i++) {
             client.send(Scene.ask(Scene.id(), ""));
             assertEquals(Scene.EVENT + Scene.END, events(served(client)));
@@ -161,7 +161,7 @@
         AtomicInteger calls = new AtomicInteger();
         scene.writer.script = seen -> calls.getAndIncrement() == 0 ? new Reply(Scene.declined("410 Gone"), true)
                 : new Reply(Scene.GOOD + Scene.chunk(Scene.EVENT + Scene.END) + "0\r\n\r\n", true);
-        Scene.Guest client = scene.client();
+        Scene.RawClient client = scene.client();
         client.send(Scene.ask(Scene.id(), ""));
         served(client);
         scene.reader.next("POST");
@@ -171,14 +171,14 @@
     @Test
     void requestThatAnEngineCantUseIsAnErrorAtOnceAndGoesToNoOther() throws Exception {
         scene.reader.script = seen -> new Reply(Scene.answer("400 Bad Request", "{}"), true);
-        Scene.Guest client = scene.client();
+        Scene.RawClient client = scene.client();
         client.send(Scene.ask(Scene.id(), ""));
         assertTrue(client.rest().startsWith("HTTP/1.1 400 "));
         scene.reader.next("POST");
         assertTrue(scene.reader.seen.isEmpty());
         // Nobody is blamed for it: the next one is served there.
         scene.reader.script = seen -> new Reply(Scene.read(0), true);
-        Scene.Guest other = scene.client();
+        Scene.RawClient other = scene.client();
         other.send(Scene.ask(Scene.id(), ""));
         served(other);
     }
@@ -191,7 +191,7 @@
             return new Reply(null, true);
         };
         String id = Scene.id();
-        Scene.Guest client = scene.client();
+        Scene.RawClient client = scene.client();
         client.send(Scene.ask(id, ""));
         await(reading);
         client.close();
@@ -202,7 +202,7 @@
     void stateIsLetGoOfAtAnotherEngineWhereItsHolderIsSilent() throws Exception {
         scene.reader.silent = true;
         String id = Scene.id();
-        Scene.Guest client = scene.client();
+        Scene.RawClient client = scene.client();
         client.send(Scene.ask(id, 1000, ""));
         assertTrue(client.answer().matches("(?s)HTTP/1.1 50[34] .*"));
         assertEquals("/v1/holds/" + id, scene.writer.next("DELETE").target());
@@ -211,7 +211,7 @@
     @Test
     void finalAnswerComesInTheClientsTimeWhereEnginesAreSilent() throws Exception {
         scene.reader.script = seen -> new Reply(null, true);
-        Scene.Guest client = scene.client();
+        Scene.RawClient client = scene.client();
         long start = System.nanoTime();
         client.send(Scene.ask(Scene.id(), 700, ""));
         assertTrue(client.answer().matches("(?s)HTTP/1.1 50[34] .*"));
@@ -233,7 +233,7 @@
             good.replaceAll("Req-Id: \\w+", "Req-Id: ../../x"), good.replace("prompt_len=400", "prompt_len=many"),
             good.replace("/v1/chat/completions", "/v1/other"), good.replace("HTTP/1.1", "HTTP/1.0")};
         for (String bytes : bad) {
-            Scene.Guest client = scene.client();
+            Scene.RawClient client = scene.client();
             client.send(bytes);
             String answer = client.rest();
             assertTrue(answer.matches("(?s)HTTP/1.1 [45].*"), bytes);
@@ -244,7 +244,7 @@
 
     @Test
     void hiddenRequestBehindTwoLengthsIsNeverServed() throws Exception {
-        Scene.Guest client = scene.client();
+        Scene.RawClient client = scene.client();
         client.send(Scene.ask(Scene.id(), "Transfer-Encoding: chunked\r\n").replaceAll("\r\n\r\n.*", "\r\n\r\n0\r\n\r\n")
                 + Scene.ask(Scene.id(), ""));
         assertTrue(client.rest().startsWith("HTTP/1.1 400 "));
@@ -255,10 +255,10 @@
     void idOfAnOpenGenerationIsRefusedAndTheFirstIsUntouched() throws Exception {
         Gate gate = gateReads();
         String id = Scene.id();
-        Scene.Guest first = scene.client();
+        Scene.RawClient first = scene.client();
         first.send(Scene.ask(id, ""));
         await(gate.asked);
-        Scene.Guest second = scene.client();
+        Scene.RawClient second = scene.client();
         second.send(Scene.ask(id, ""));
         assertTrue(second.rest().startsWith("HTTP/1.1 409 "));
         gate.open.countDown();
@@ -270,12 +270,12 @@
     @Test
     void hundredsOfSilentConnectionsAreEndedAndUsualClientsServedBesideThem() throws Exception {
         long start = System.nanoTime();
-        Scene.Guest half = scene.client();
+        Scene.RawClient half = scene.client();
         half.send("POST /v1/chat/completions HTTP/1.1\r\nHost: s\r\nContent-Length: 50\r\n\r\nhalf");
         for (int i = 0; i < 300; i++) {
-            Scene.Guest silent = scene.client();
+            Scene.RawClient silent = scene.client();
             if (i % 50 == 0) {
-                Scene.Guest usual = scene.client();
+                Scene.RawClient usual = scene.client();
                 usual.send(Scene.ask(Scene.id(), ""));
                 served(usual);
             }
@@ -289,7 +289,7 @@
 
     @Test
     void drainingEngineGetsNothingNewAndItsSuccessorIsFollowed() throws Exception {
-        Scene.Guest client = scene.client();
+        Scene.RawClient client = scene.client();
         client.send(Scene.ask(Scene.id(), ""));
         client.until("0\r\n\r\n");
         try (Scene.Actor other = new Scene.Actor(seen -> new Reply(Scene.read(0), true))) {
@@ -324,15 +324,15 @@
     @Test
     void endAnswersAllThatCameAndSaysSo() throws Exception {
         Gate gate = gateReads();
-        Scene.Guest busy = scene.client();
-        Scene.Guest rests = scene.client();
+        Scene.RawClient busy = scene.client();
+        Scene.RawClient rests = scene.client();
         rests.send("GET /up HTTP/1.1\r\nHost: n\r\n\r\n");
         assertTrue(rests.answer().startsWith("HTTP/1.1 200 "));
         busy.send(Scene.ask(Scene.id(), ""));
         await(gate.asked);
         scene.node.end();
         assertEquals("", rests.rest());
-        Scene.Guest late = scene.client();
+        Scene.RawClient late = scene.client();
         late.send("GET /up HTTP/1.1\r\nHost: n\r\n\r\n");
         assertTrue(late.rest().startsWith("HTTP/1.1 503 "));
         gate.open.countDown();
@@ -351,7 +351,7 @@
         scene.writer.script = seen -> replies[calls.getAndIncrement() % replies.length];
         int most = 0;
         for (int i = 0; i < 40; i++) {
-            Scene.Guest client = scene.client();
+            Scene.RawClient client = scene.client();
             client.send(Scene.ask(Scene.id(), 600, ""));
             int legs = scene.node.legsOut();
             assertNotEquals(-1, legs, "at request " + i);
@@ -372,7 +372,7 @@
 
     @Test
     void nothingGrowsWithIds() throws Exception {
-        Scene.Guest client = scene.client();
+        Scene.RawClient client = scene.client();
         for (int i = 0; i < 1500; i++) {
             client.send(Scene.ask(Scene.id(), "").replace("k1", "k" + i).replace("prefix=p1", "prefix=p" + i));
             served(client);
--- a/src/test/java/larchridge/node/Scene.java
+++ b/src/test/java/larchridge/node/Scene.java
@@ -140,10 +140,10 @@
                 + "Content-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
-    Guest client() throws IOException {
-        Guest guest = new Guest(node.port());
-        opened.add(guest);
-        return guest;
+    RawClient client() throws IOException {
+        RawClient client = new RawClient(node.port());
+        opened.add(client);
+        return client;
     }
 
     @Override
@@ -159,11 +159,11 @@
     }
 
     /** A raw client. */
-    static final class Guest implements AutoCloseable {
+    static final class RawClient implements AutoCloseable {
         final Socket socket;
         private final InputStream in;
 
-        Guest(int port) throws IOException {
+        RawClient(int port) throws IOException {
             socket = new Socket(InetAddress.getLoopbackAddress(), port);
             socket.setSoTimeout(10_000);
             socket.setTcpNoDelay(true);
--- a/src/test/java/larchridge/node/door/WishTest.java
+++ b/src/test/java/larchridge/node/door/RequestHeadTest.java
@@ -7,7 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import org.junit.jupiter.api.Test;
 
-class WishTest {
+class RequestHeadTest {
     private static HttpHeaders head() {
         return new DefaultHttpHeaders().set("Req-Id", "9b1f03aa5c7e2d41").set("Req-Kind", "chat").set("Req-Key", "k")
                 .set("Req-Deadline-Ms", "4800")
@@ -16,8 +16,8 @@
 
     @Test
     void headIsReadAsThePageSays() throws Exception {
-        Wish wish = Wish.read(head().set("Req-Retry", "1"));
-        assertEquals(new Wish("9b1f03aa5c7e2d41", "chat", "k", 4800, "5c0f", 5120, 2048, 800, true), wish);
+        RequestHead asked = RequestHead.read(head().set("Req-Retry", "1"));
+        assertEquals(new RequestHead("9b1f03aa5c7e2d41", "chat", "k", 4800, "5c0f", 5120, 2048, 800, true), asked);
     }
 
     @Test
@@ -27,9 +27,9 @@
             {"Req-Deadline-Ms", "99999999999999999999"}, {"Req-Extra", "prompt_len=-1,max_out=1"},
             {"Req-Extra", "prompt_len=1"}, {"Req-Extra", "prompt_len=99999999999,max_out=1"}};
         for (String[] one : bad) {
-            assertThrows(Wish.BadHead.class, () -> Wish.read(head().set(one[0], one[1])), one[0] + ": " + one[1]);
+            assertThrows(RequestHead.BadHead.class, () -> RequestHead.read(head().set(one[0], one[1])), one[0] + ": " + one[1]);
         }
-        assertThrows(Wish.BadHead.class, () -> Wish.read(head().add("Req-Id", "9b1f03aa5c7e2d42")));
-        assertThrows(Wish.BadHead.class, () -> Wish.read(head().remove("Req-Id")));
+        assertThrows(RequestHead.BadHead.class, () -> RequestHead.read(head().add("Req-Id", "9b1f03aa5c7e2d42")));
+        assertThrows(RequestHead.BadHead.class, () -> RequestHead.read(head().remove("Req-Id")));
     }
 }
