Releases go over connections at rest first; the process ends after its clients' connections

Cause: a release that its holder does not take within a fifth of the time went to the engine heard from last and then to all in turn, whether or not a connection had to come up first; where engines are cut off each try costs 200 ms of the 1000 there are (lines: PassageLink.nextSpot). At the end in peace the process went away over connections that were still read on (Node.leave), which resets answers on their way. Change: nobody is asked twice; connections at rest first, then those heard from last. A release that met a new leg stays owed. Result: ReleaseTest (new; the first of its two tests fails on the sources before, by reading) and NodeTest pass.

--- a/src/main/java/larchridge/node/Node.java
+++ b/src/main/java/larchridge/node/Node.java
@@ -299,7 +299,9 @@
             door.close();
             front.stop(() -> {
                 agent.stop();
-                ended.countDown();
+                // Danger: the end of the process closes over what clients still send, and resets answers on their way.
+                door.close();
+                door.whenEmpty(ended::countDown);
             });
         });
     }
--- a/src/main/java/larchridge/node/door/Door.java
+++ b/src/main/java/larchridge/node/door/Door.java
@@ -28,6 +28,7 @@
 public final class Door {
     private static final int IDS = 4096;
     private static final double LOOK_MS = 200;
+    private static final double EMPTY_LOOK_MS = 20;
 
     final Front front;
     final Site site;
@@ -110,6 +111,15 @@
         }
     }
 
+    /** Runs once no client's connection is open any more; each that this side ends is gone after a while at the latest. */
+    public void whenEmpty(Runnable then) {
+        if (all.isEmpty()) {
+            then.run();
+        } else {
+            ground.in(EMPTY_LOOK_MS, () -> whenEmpty(then));
+        }
+    }
+
     public int connections() {
         return all.size();
     }
--- a/src/main/java/larchridge/node/link/PassageLink.java
+++ b/src/main/java/larchridge/node/link/PassageLink.java
@@ -28,9 +28,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import larchridge.enginelink.Ending;
 import larchridge.enginelink.EngineLink;
@@ -75,7 +77,6 @@
     private final Map<String, Tale> tales = new HashMap<>();
     private List<Spot> spots = List.of();
     private int connections;
-    private int turn;
 
     /** A read state waits under the request's own id. */
     private static final class Waiting implements StateHandle { }
@@ -87,7 +88,8 @@
         boolean begun;
         boolean owed;
         boolean releasing;
-        int tries;
+        /** Where the release was sent so far. */
+        final Set<Spot> asked = new HashSet<>();
         Spot holder;
 
         Tale(String id) {
@@ -470,7 +472,7 @@
             if (tale.owed && !tale.releasing && (tale.out == 0 || tale.begun)) {
                 tale.owed = false;
                 tale.releasing = true;
-                tale.tries = 0;
+                tale.asked.clear();
                 letGo(tale);
             } else if (tale.out == 0 && !tale.owed && !tale.releasing) {
                 tales.remove(tale.id, tale);
@@ -479,49 +481,57 @@
     }
 
     private void letGo(Tale tale) {
-        Spot spot = nextSpot(tale);
-        tale.tries++;
+        Spot spot = tale.asked.size() < 2 * RELEASE_TRIES ? nextSpot(tale) : null;
         if (spot == null) {
-            released(tale, false);
+            LOG.atWarn().addKeyValue("id", tale.id).log("no engine took a release; the state is left to its engine");
+            released(tale);
             return;
         }
-        Short call = new Short(spot, HttpMethod.DELETE, "/v1/holds/" + tale.id, bounds.releaseMs() / RELEASE_TRIES,
-                answer -> released(tale, answer != null));
-        call.go();
+        tale.asked.add(spot);
+        new Short(spot, HttpMethod.DELETE, "/v1/holds/" + tale.id, bounds.releaseMs() / RELEASE_TRIES, answer -> {
+            boolean mayFetch = tale.out > 0 && !tale.begun;
+            if (answer == null && !mayFetch) {
+                letGo(tale);
+            } else {
+                tale.owed |= answer == null;
+                released(tale);
+            }
+        }).go();
+    }
+
+    private void released(Tale tale) {
+        tale.releasing = false;
+        settle(tale);
     }
 
-    /** The holder first; then those heard from last, and then all in turn. */
+    /**
+     * The holder first; then others that were not asked yet, those with a connection at rest before those without, and
+     * those heard from last before the rest. Danger: a connection that has to come up first may take all the time there
+     * is, and where engines are cut off most of them are asked in vain.
+     */
     private Spot nextSpot(Tale tale) {
-        if (tale.tries == 0 && spots.contains(tale.holder)) {
-            return tale.holder;
-        }
         Spot best = null;
+        boolean bestRests = false;
         double bestMs = Double.NEGATIVE_INFINITY;
         for (Spot spot : spots) {
+            if (tale.asked.contains(spot)) {
+                continue;
+            }
+            if (spot.equals(tale.holder)) {
+                return spot;
+            }
             Pool pool = pools.get(spot);
-            if (!spot.equals(tale.holder) && pool != null && pool.heardMs > bestMs) {
+            boolean rests = pool != null && pool.hasIdle();
+            double heardMs = pool == null ? Double.NEGATIVE_INFINITY : pool.heardMs;
+            if (best == null || rests && !bestRests || rests == bestRests && heardMs > bestMs) {
                 best = spot;
-                bestMs = pool.heardMs;
+                bestRests = rests;
+                bestMs = heardMs;
             }
         }
-        if (tale.tries > 1 && !spots.isEmpty() || best == null) {
-            best = spots.isEmpty() ? null : spots.get(turn++ % spots.size());
-        }
         return best;
     }
 
-    private void released(Tale tale, boolean heard) {
-        if (!heard && tale.tries < 2 * RELEASE_TRIES && (tale.out == 0 || tale.begun)) {
-            letGo(tale);
-            return;
-        }
-        if (!heard) {
-            LOG.atWarn().addKeyValue("id", tale.id).log("no engine took a release; the state is left to its engine");
-        }
-        tale.releasing = false;
-        settle(tale);
-    }
-
     // ------------------------------------------------------------------ probes
 
     @Override
--- a/src/main/java/larchridge/node/link/Pool.java
+++ b/src/main/java/larchridge/node/link/Pool.java
@@ -42,6 +42,12 @@
         return null;
     }
 
+    /** Whether a connection rests that could be used now. */
+    boolean hasIdle() {
+        Wire newest = idle.peekFirst();
+        return newest != null && newest.isUsable() && link.nowMs() - newest.idleSinceMs < idleLimitMs();
+    }
+
     void opening(Wire wire) {
         all.add(wire);
     }
--- /dev/null
+++ b/src/test/java/larchridge/node/link/ReleaseTest.java
@@ -0,0 +1,79 @@
+package larchridge.node.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import larchridge.enginelink.Spot;
+import larchridge.front.World;
+import org.junit.jupiter.api.Test;
+
+/** Where releases go, in virtual time. */
+class ReleaseTest {
+    private final World time = new World();
+    private final Map<Spot, EmbeddedChannel> up = new HashMap<>();
+    private final List<Spot> tried = new ArrayList<>();
+    private final PassageLink link = new PassageLink(time.ground(0, 1),
+            new LinkBounds(250, 15_000, 1000, 100, 50, List.of()), (spot, handlers) -> {
+                tried.add(spot);
+                EmbeddedChannel engine = new EmbeddedChannel(handlers);
+                if (!up.containsKey(spot)) {
+                    // Its connection never comes up.
+                    return engine.newPromise();
+                }
+                up.put(spot, engine);
+                return engine.newSucceededFuture();
+            });
+
+    private static Spot spot(int number) {
+        return new Spot("10.0.0." + number, 8443);
+    }
+
+    /** An engine that is asked for its load and answers. */
+    private EmbeddedChannel hears(Spot spot) {
+        up.put(spot, null);
+        link.probe(spot, (answered, report) -> { });
+        EmbeddedChannel engine = up.get(spot);
+        engine.writeInbound(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", StandardCharsets.ISO_8859_1));
+        engine.releaseOutbound();
+        time.run(time.sinceMs() + 10);
+        return engine;
+    }
+
+    @Test
+    void releaseGoesOverAConnectionAtRestWhereItsHolderAndTheEnginesHeardLastAreCutOff() {
+        List<Spot> spots = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            spots.add(spot(i));
+        }
+        link.engines(spots);
+        EmbeddedChannel rests = hears(spot(7));
+        for (int i = 8; i < 12; i++) {
+            // Heard later, and gone since.
+            hears(spot(i)).close();
+            up.remove(spot(i));
+        }
+        tried.clear();
+        link.release(spot(0), "9b1f03aa5c7e2d41.0");
+        time.run(time.sinceMs() + 250);
+        assertEquals(List.of(spot(0)), tried, "the holder is asked first, and then none that has to be connected to");
+        ByteBuf sent = rests.readOutbound();
+        assertEquals("DELETE /v1/holds/9b1f03aa5c7e2d41 HTTP/1.1", sent.toString(StandardCharsets.ISO_8859_1).lines().findFirst().get());
+        sent.release();
+    }
+
+    @Test
+    void releaseIsTriedAtEachEngineOnceUntilItsTriesAreUsedUp() {
+        link.engines(List.of(spot(0), spot(1), spot(2)));
+        link.release(spot(1), "9b1f03aa5c7e2d41.0");
+        time.run(time.sinceMs() + 2000);
+        assertEquals(List.of(spot(1), spot(0), spot(2)), tried);
+        assertEquals(0, link.openTales());
+    }
+}
