Test: legs return to zero only once every request has its answer

The test waited until the link knew no request and then wanted no leg out. A request that its connection has not read yet, or that waits in the module before its read, is none of the link's, so the wait could be over with requests still to come. Shown on a scratch copy: 30 ms between the two questions, 30 tries, 29 gave 0 legs and one gave 8 (requests that had waited before the read after the faults). Module and link agreed (no -1), so the counts themselves were ruled out.

Change: each client that stayed has to get its answer first (a missing one now fails the test), then the wait and the same question as before. As strict, and the sole difference is when it is asked.

--- a/src/test/java/larchridge/node/NodeTest.java
+++ b/src/test/java/larchridge/node/NodeTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -10,6 +11,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -448,6 +451,7 @@
             new Reply(Scene.GOOD + Scene.chunk(Scene.EVENT) + "zz\r\n", true), new Reply(good, true)};
         scene.writer.script = seen -> replies[calls.getAndIncrement() % replies.length];
         int most = 0;
+        List<Scene.RawClient> unanswered = new ArrayList<>();
         for (int i = 0; i < 40; i++) {
             Scene.RawClient client = scene.client();
             client.send(Scene.ask(Scene.id(), 600, ""));
@@ -458,10 +462,16 @@
                 client.close();
             } else if (i % 2 == 0) {
                 client.until("\r\n\r\n");
+            } else {
+                unanswered.add(client);
             }
             assertNotEquals(-1, scene.node.legsOut(), "after request " + i);
         }
         assertTrue(most > 0);
+        // A request that is unread yet, or waits before its read, is none of the link's: each has to be answered first.
+        for (Scene.RawClient client : unanswered) {
+            assertNotNull(client.until("\r\n\r\n"));
+        }
         while (scene.node.openTales() > 0) {
             assertNotEquals(-1, scene.node.legsOut());
         }
