A silent agent is asked anew within the grace of a drain, beside the call that is still open

The next call came a second of silence and a gap of 250 ms after the last one (SILENT_MS, AGAIN_MOST_MS in Agent), while what the agent has counts as told at its return and the grace of a drain is 250 ms.

Change: the next call for the whole list begins a third of the grace after the last, beside it, since a list may come in slow pieces; the first answer ends the others. 16 open at most, then the oldest is ended. The gap after a refused call is at most a third of the grace too. The grace comes from the settings.

--- a/src/main/java/larchridge/node/Node.java
+++ b/src/main/java/larchridge/node/Node.java
@@ -212,7 +212,7 @@
             door = new Door(group, buffers, ground, front, site, file.given.products.values(), new DoorBounds(
                     (int) (file.sockets * CLIENTS_PART), BODY_BYTES, bodies, REQUEST_MS, file.given.keepAliveMs, LINGER_MS));
             EndpointReader reader = new EndpointReader(file.given.roles, file.given.memory);
-            agent = new Agent(loop, buffers, ground, reader, this::listed);
+            agent = new Agent(loop, buffers, ground, reader, file.given.drainGraceMs, this::listed);
             if (file.known.isObject()) {
                 try {
                     agent.take(reader.read(file.known));
--- a/src/main/java/larchridge/node/discovery/Agent.java
+++ b/src/main/java/larchridge/node/discovery/Agent.java
@@ -46,17 +46,24 @@
     private static final int WAIT_MS = 2000;
     private static final double SILENT_MS = 1000;
     private static final double AGAIN_FIRST_MS = 50;
-    private static final double AGAIN_MOST_MS = 250;
+    /** An agent that has the list answers at once; silence for this part of the grace of a drain is taken for none. */
+    private static final double GRACE_PART = 1.0 / 3;
+    private static final double AGAIN_LEAST_MS = 20;
+    /** As many calls for the whole list may be open at a time; then the oldest is ended. */
+    private static final int OPEN_MOST = 16;
 
     private final EventLoop loop;
     private final ByteBufAllocator buffers;
     private final Ground ground;
     private final EndpointReader reader;
     private final Consumer<List<Row>> told;
+    private final double againMostMs;
     private final Map<String, Row> rows = new LinkedHashMap<>();
     private String host;
     private int port;
-    private Conversation now;
+    /** The oldest first. More than one only while the whole list is asked for. */
+    private final List<Conversation> open = new ArrayList<>();
+    private boolean stopped;
     private long index;
     /** Whether the next call asks for the whole list. */
     private boolean whole = true;
@@ -65,14 +72,18 @@
     private boolean isTold;
     private Runnable firstTold;
 
-    /** Told is given the complete list after each change. */
-    public Agent(EventLoop loop, ByteBufAllocator buffers, Ground ground, EndpointReader reader,
+    /**
+     * @param graceMs how long an engine may still be sent to once it is told to drain
+     * @param told    is given the complete list after each change
+     */
+    public Agent(EventLoop loop, ByteBufAllocator buffers, Ground ground, EndpointReader reader, double graceMs,
                  Consumer<List<Row>> told) {
         this.loop = loop;
         this.buffers = buffers;
         this.ground = ground;
         this.reader = reader;
         this.told = told;
+        againMostMs = Math.max(AGAIN_LEAST_MS, graceMs * GRACE_PART);
     }
 
     /** Takes a list that was kept, and what comes on a watch. */
@@ -115,28 +126,36 @@
         port = toPort;
         whole = true;
         againMs = AGAIN_FIRST_MS;
-        if (now != null) {
-            now.leave();
-        }
+        leaveAll();
         talk();
     }
 
     public void stop() {
-        if (now != null) {
-            now.leave();
-            now = null;
-        }
+        stopped = true;
+        leaveAll();
+    }
+
+    private void leaveAll() {
+        List.copyOf(open).forEach(Conversation::leave);
     }
 
     private void talk() {
-        now = new Conversation();
-        now.open();
+        if (stopped) {
+            return;
+        }
+        if (open.size() >= OPEN_MOST) {
+            open.get(0).leave();
+        }
+        Conversation next = new Conversation();
+        open.add(next);
+        next.open();
     }
 
     /** One connection to the agent. */
     private final class Conversation extends SimpleChannelInboundHandler<FullHttpResponse> {
         private Channel channel;
         private boolean left;
+        private boolean answered;
         private long timer = -1;
 
         void open() {
@@ -158,6 +177,13 @@
                     failed("no connection");
                 }
             });
+            // Danger: an agent that was silent may never answer what it was asked meanwhile, and once it speaks again
+            // what it has counts as told at once. The call stays open beside the next: it may come in slow pieces.
+            ground.in(againMostMs, () -> {
+                if (!left && !answered && open.get(open.size() - 1) == this) {
+                    talk();
+                }
+            });
         }
 
         private void ask() {
@@ -178,6 +204,7 @@
                 return;
             }
             stopTimer();
+            answered = true;
             if (response.decoderResult().isFailure() || response.status().code() != 200) {
                 failed("answer " + response.status().code());
                 return;
@@ -188,6 +215,7 @@
                     failed("changes where the whole list was asked for");
                     return;
                 }
+                List.copyOf(open).stream().filter(other -> other != this).forEach(Conversation::leave);
                 take(list);
                 whole = false;
                 againMs = AGAIN_FIRST_MS;
@@ -216,11 +244,11 @@
             leave();
             LOG.atDebug().addKeyValue("why", why).log("discovery is asked again");
             double wait = againMs;
-            againMs = Math.min(AGAIN_MOST_MS, 2 * againMs);
+            againMs = Math.min(againMostMs, 2 * againMs);
             // Danger: a gap in the watch may hide changes; after one the whole list is asked for.
             whole = true;
             ground.in(wait, () -> {
-                if (now == this) {
+                if (open.isEmpty()) {
                     talk();
                 }
             });
@@ -228,6 +256,7 @@
 
         void leave() {
             left = true;
+            open.remove(this);
             stopTimer();
             channel.close();
         }
--- a/src/test/java/larchridge/node/NodeTest.java
+++ b/src/test/java/larchridge/node/NodeTest.java
@@ -371,6 +371,24 @@
         }
     }
 
+    /** The grace here is 250 ms: an agent that does not answer one call has to be asked anew well within it. */
+    @Test
+    void agentThatSpeaksAgainIsHeardWithinTheGraceThoughItDropsWhatItWasAsked() throws Exception {
+        Function<Seen, Reply> script = scene.discovery.script;
+        scene.discovery.script = seen -> new Reply(null, true);
+        scene.discovery.seen.clear();
+        scene.node.readAgain();
+        while (scene.discovery.next("GET").target().contains("after=")) {
+            // A watch that was asked for before.
+        }
+        long asked = System.nanoTime();
+        scene.discovery.script = script;
+        assertEquals("/discovery/hosts", scene.discovery.next("GET").target());
+        double againMs = (System.nanoTime() - asked) / 1e6;
+        assertTrue(againMs < 700, "asked again after " + againMs + " ms");
+        assertTrue(scene.discovery.next("GET").target().startsWith("/discovery/hosts?after="));
+    }
+
     @Test
     void watchThatFallsSilentIsOpenedAnewInTimeForWhatItMissed() throws Exception {
         Function<Seen, Reply> script = scene.discovery.script;
