--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -5,11 +5,11 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Random;
+import larchridge.state.Attempt;
 import larchridge.state.Effect;
 import larchridge.state.Engine;
 import larchridge.state.Fleet;
 import larchridge.state.Gen;
-import larchridge.state.Leg;
 import larchridge.state.Listing;
 import larchridge.state.Mean;
 import larchridge.state.Outcome;
@@ -85,7 +85,7 @@
     private final Random random;
     private final int fronts;
     private final String zone;
-    private final int maxLegs;
+    private final int maxAttempts;
     private final boolean mayCancel;
     private final boolean maySendCopies;
     private final boolean writersRead;
@@ -124,7 +124,7 @@
         random = new Random(terms.seed);
         fronts = terms.fronts;
         zone = terms.zone;
-        maxLegs = terms.maxLegs;
+        maxAttempts = terms.maxAttempts;
         mayCancel = terms.mayCancel;
         maySendCopies = terms.maySendCopies;
         writersRead = terms.writersRead;
@@ -147,62 +147,62 @@
         setWake();
     }
 
-    public void readDone(Leg leg, int keptToks, Report report, boolean over) {
-        Gen gen = leg.gen;
-        answered(leg.engine, false);
-        heard(leg.engine, report);
+    public void readDone(Attempt attempt, int keptToks, Report report, boolean over) {
+        Gen gen = attempt.gen;
+        answered(attempt.engine, false);
+        heard(attempt.engine, report);
         double now = host.now();
         double unread = Math.max(gen.promptToks - keptToks, LEAST_READ_TOKS);
-        double speed = unread / Math.max(1, now - leg.sentMs);
-        leg.engine.speeds.raise(now, speed);
-        leg.engine.reads.add(now, 1);
+        double speed = unread / Math.max(1, now - attempt.sentMs);
+        attempt.engine.speeds.raise(now, speed);
+        attempt.engine.reads.add(now, 1);
         speeds.raise(now, speed);
         unreadParts.add(now, unread, gen.promptToks);
         unreadSizes.add(now, unread, 1);
-        if (homes(gen).indexOf(leg.engine) == 0) {
+        if (homes(gen).indexOf(attempt.engine) == 0) {
             homesKept.add(now, keptToks, gen.promptToks);
         }
-        warmReads.add(now, isCold(leg.engine, now) ? 0 : 1);
-        close(leg);
+        warmReads.add(now, isCold(attempt.engine, now) ? 0 : 1);
+        close(attempt);
         gen.over |= over;
         if (gen.state == null) {
-            gen.state = leg;
+            gen.state = attempt;
         }
         if (gen.over || gen.begun) {
             // Danger: a read that ends after its generation would leave its state pinned.
             letGo(gen);
         } else if (!gen.isAtWriter()) {
-            cancelOthers(gen, leg);
+            cancelOthers(gen, attempt);
             advance(gen);
         }
         admitWaiting();
     }
 
-    public void begun(Leg leg) {
-        Gen gen = leg.gen;
+    public void begun(Attempt attempt) {
+        Gen gen = attempt.gen;
         double now = host.now();
-        answered(leg.engine, false);
-        heard(leg.engine, null);
-        leg.markRead();
+        answered(attempt.engine, false);
+        heard(attempt.engine, null);
+        attempt.markRead();
         gen.begun = true;
-        if (gen.state != null && distance(gen.state.engine, leg.engine) > 0) {
-            gen.state.engine.moves.add(now, now - leg.sentMs, 1);
+        if (gen.state != null && distance(gen.state.engine, attempt.engine) > 0) {
+            gen.state.engine.moves.add(now, now - attempt.sentMs, 1);
         }
         // Danger: late moves would make every generation look too late, also those that need no move.
         if (gen.state == null || !movesLate(gen.state.engine, now)) {
-            beginMs += 0.05 * (now - leg.sentMs - beginMs);
+            beginMs += 0.05 * (now - attempt.sentMs - beginMs);
         }
         gen.state = null;
-        gen.held = gen.legsOut > 1;
-        warmWrites.add(now, isCold(leg.engine, now) ? 0 : 1);
-        cancelOthers(gen, leg);
+        gen.held = gen.attemptsOut > 1;
+        warmWrites.add(now, isCold(attempt.engine, now) ? 0 : 1);
+        cancelOthers(gen, attempt);
     }
 
-    public void ended(Leg leg, Outcome outcome, Report report, boolean over) {
-        Gen gen = leg.gen;
-        Engine engine = leg.engine;
-        leg.outcome = outcome;
-        close(leg);
+    public void ended(Attempt attempt, Outcome outcome, Report report, boolean over) {
+        Gen gen = attempt.gen;
+        Engine engine = attempt.engine;
+        attempt.outcome = outcome;
+        close(attempt);
         gen.over |= over;
         switch (outcome) {
             case STREAMED, NO_STATE -> heard(engine, report);
@@ -229,7 +229,7 @@
         if (gen.over || gen.begun || outcome == Outcome.NO_STATE) {
             letGo(gen);
         }
-        if (!gen.over && !gen.begun && !gen.waiting && gen.legsOut == 0) {
+        if (!gen.over && !gen.begun && !gen.waiting && gen.attemptsOut == 0) {
             advance(gen);
         }
         admitWaiting();
@@ -267,7 +267,7 @@
             askAtMs = Double.POSITIVE_INFINITY;
             host.followList();
         }
-        open.removeIf(gen -> gen.over && gen.legsOut == 0);
+        open.removeIf(gen -> gen.over && gen.attemptsOut == 0);
         for (int i = 0; i < open.size(); i++) {
             look(open.get(i), now);
         }
@@ -277,7 +277,7 @@
 
     // ------------------------------------------------------------------ the ordinary path
 
-    /** Takes a generation with no leg out one step on: to a reader, a writer, the wait or its end. */
+    /** Takes a generation with no attempt out one step on: to a reader, a writer, the wait or its end. */
     private void advance(Gen gen) {
         double now = host.now();
         // Danger: a generation that waits twice is sent twice, and the second send drops its state.
@@ -290,7 +290,7 @@
             letGo(gen);
         }
         if (gen.state == null) {
-            if (gen.legs.size() + 2 > maxLegs) {
+            if (gen.attempts.size() + 2 > maxAttempts) {
                 giveUp(gen);
                 return;
             }
@@ -302,7 +302,7 @@
             }
             sendRead(gen, reader);
         } else {
-            Engine writer = gen.legs.size() < maxLegs ? pickWriter(gen) : null;
+            Engine writer = gen.attempts.size() < maxAttempts ? pickWriter(gen) : null;
             if (writer == null) {
                 giveUp(gen);
                 return;
@@ -433,7 +433,7 @@
         int tried = 0;
         for (Gen gen : order) {
             boolean late = now + gen.leastReadToks * perTok + beginMs > gen.sloAtMs();
-            if (late && now > triedMs + TRY_MS && open.stream().allMatch(g -> g.legsOut == 0)) {
+            if (late && now > triedMs + TRY_MS && open.stream().allMatch(g -> g.attemptsOut == 0)) {
                 // Danger: once all was slow, all is given up, and nothing is sent that could show that it no
                 // longer is: everyone would be turned away. With nothing out, what is known is void.
                 triedMs = now;
@@ -445,7 +445,7 @@
             if (late) {
                 giveUp(gen);
             } else if (tried++ < MOST_TRIED) {
-                // Danger: thousands that wait, all tried whenever a leg ends, keep the loop from answering.
+                // Danger: thousands that wait, all tried whenever an attempt ends, keep the loop busy.
                 advance(gen);
             }
         }
@@ -457,31 +457,31 @@
         // Rule 2: throttled says that trying again is harmless.
         if (gen.product.effect == Effect.IDEMPOTENT
                 || gen.product.effect == Effect.DEDUPLICATED && gen.product.span == Span.ALL
-                || gen.legs.stream().noneMatch(Leg::mayHaveRun)) {
+                || gen.attempts.stream().noneMatch(Attempt::mayHaveRun)) {
             host.throttle(gen, comeBackMaxMs <= 0 ? 0 : comeBackMaxMs * (0.3 + 0.7 * random.nextDouble()));
         } else {
             host.terminate(gen);
         }
     }
 
-    /** Danger: a release frees nothing that a leg still out may take, and so is said again after that. */
+    /** Danger: a release frees nothing that an attempt still out may take; it is said again after that. */
     private void letGo(Gen gen) {
         if (gen.held) {
-            gen.held = gen.legsOut > 0;
+            gen.held = gen.attemptsOut > 0;
             host.release(gen);
         }
         gen.state = null;
     }
 
-    // ------------------------------------------------------------------ legs
+    // ------------------------------------------------------------------ attempts
 
     private void sendRead(Gen gen, Engine reader) {
         double now = host.now();
         double unread = readToks(gen, reader);
         boolean alone = reader.role != Role.READER;
-        Leg leg = new Leg(gen, reader, !alone, now, alone ? genToks(gen) : unread, unread);
+        Attempt attempt = new Attempt(gen, reader, !alone, now, alone ? genToks(gen) : unread, unread);
         double dueMs = (unreadToks(reader, now) + unread) * msPerTok(reader, now);
-        leg.patienceMs = (alone ? OVERDUE_WRITE_MS : OVERDUE_READ_MS) + OVERDUE_FACTOR * dueMs;
+        attempt.patienceMs = (alone ? OVERDUE_WRITE_MS : OVERDUE_READ_MS) + OVERDUE_FACTOR * dueMs;
         // Danger: a read whose answer is lost leaves a state that no outcome tells of.
         gen.held = true;
         awaitingToks += alone ? 0 : genToks(gen);
@@ -491,7 +491,7 @@
         if (gen.prefix != null) {
             gen.prefix.sentTo(reader, gen.sharedToks, now);
         }
-        send(leg);
+        send(attempt);
         for (int i = 0; i < WRITERS_ASKED && !alone && !writers.isEmpty(); i++) {
             ask(writers.get(random.nextInt(writers.size())));
         }
@@ -522,32 +522,33 @@
     }
 
     private void sendWrite(Gen gen, Engine writer) {
-        Leg leg = new Leg(gen, writer, false, host.now(), genToks(gen), 0);
-        leg.patienceMs = OVERDUE_WRITE_MS + OVERDUE_FACTOR * beginMs;
-        send(leg);
+        Attempt attempt = new Attempt(gen, writer, false, host.now(), genToks(gen), 0);
+        attempt.patienceMs = OVERDUE_WRITE_MS + OVERDUE_FACTOR * beginMs;
+        send(attempt);
     }
 
-    private void send(Leg leg) {
-        Engine engine = leg.engine;
+    private void send(Attempt attempt) {
+        Engine engine = attempt.engine;
         double now = host.now();
-        if (!leg.read) {
-            engine.freshToks.add(now, leg.toks);
+        if (!attempt.read) {
+            engine.freshToks.add(now, attempt.toks);
             engine.freshStreams.add(now, 1);
-            writesSent.add(now, leg.toks, 1);
+            writesSent.add(now, attempt.toks, 1);
         }
-        leg.open();
-        host.send(leg);
+        attempt.open();
+        host.send(attempt);
     }
 
-    private void close(Leg leg) {
-        awaitingToks = Math.max(0, awaitingToks - (leg.close() && leg.read ? genToks(leg.gen) : 0));
+    private void close(Attempt attempt) {
+        double toks = attempt.close() && attempt.read ? genToks(attempt.gen) : 0;
+        awaitingToks = Math.max(0, awaitingToks - toks);
     }
 
-    private void cancelOthers(Gen gen, Leg kept) {
-        for (Leg leg : gen.legs) {
-            if (leg != kept && leg.out && !leg.cancelled && mayCancel) {
-                leg.cancelled = true;
-                host.cancel(leg);
+    private void cancelOthers(Gen gen, Attempt kept) {
+        for (Attempt attempt : gen.attempts) {
+            if (attempt != kept && attempt.out && !attempt.cancelled && mayCancel) {
+                attempt.cancelled = true;
+                host.cancel(attempt);
             }
         }
     }
@@ -557,7 +558,7 @@
         if (gen.over || gen.begun) {
             return;
         }
-        Leg newest = gen.legs.isEmpty() ? null : gen.legs.get(gen.legs.size() - 1);
+        Attempt newest = gen.attempts.isEmpty() ? null : gen.attempts.get(gen.attempts.size() - 1);
         if (gen.state != null && newest.out && !newest.toldLate && now - newest.sentMs > MOVE_LATE_MS
                 && distance(gen.state.engine, newest.engine) > 0) {
             // One that has not begun yet tells sooner than those that have; once, since one may be lost.
@@ -566,14 +567,14 @@
         }
         if (now >= gen.limitMs - ANSWER_EARLY_MS) {
             giveUp(gen);
-        } else if (gen.legsOut == 0 && !gen.waiting) {
+        } else if (gen.attemptsOut == 0 && !gen.waiting) {
             advance(gen);
-        } else if (gen.legsOut > 0 && gen.product.effect == Effect.IDEMPOTENT && mayCancel && maySendCopies
-                && gen.legs.size() + (gen.state == null ? 2 : 1) <= maxLegs) {
-            Leg leg = gen.legs.get(gen.legs.size() - 1);
-            double silentMs = now - Math.max(leg.engine.heardMs, leg.sentMs);
-            if (leg.out && !leg.cancelled && silentMs > leg.patienceMs) {
-                overdue(gen, leg);
+        } else if (gen.attemptsOut > 0 && gen.product.effect == Effect.IDEMPOTENT && mayCancel
+                && maySendCopies && gen.attempts.size() + (gen.state == null ? 2 : 1) <= maxAttempts) {
+            Attempt attempt = gen.attempts.get(gen.attempts.size() - 1);
+            double silentMs = now - Math.max(attempt.engine.heardMs, attempt.sentMs);
+            if (attempt.out && !attempt.cancelled && silentMs > attempt.patienceMs) {
+                overdue(gen, attempt);
             }
         }
     }
@@ -583,12 +584,12 @@
      * second one beside it, since calling off one that only takes long would waste it; an answer that waits
      * for its writer moves only where there is room, or it would queue anew.
      */
-    private void overdue(Gen gen, Leg leg) {
-        blame(leg.engine);
+    private void overdue(Gen gen, Attempt attempt) {
+        blame(attempt.engine);
         Engine other = gen.state != null ? pickWriter(gen) : roomAnywhere(gen) ? pickReader(gen) : null;
-        if (other != null && other != leg.engine && gen.state == null) {
+        if (other != null && other != attempt.engine && gen.state == null) {
             sendRead(gen, other);
-        } else if (other != null && other != leg.engine && hasRoom(other, gen)) {
+        } else if (other != null && other != attempt.engine && hasRoom(other, gen)) {
             cancelOthers(gen, null);
             sendWrite(gen, other);
         }
@@ -596,19 +597,19 @@
 
     // ------------------------------------------------------------------ rules
 
-    /** Rule 2: whether one more leg to this writer could not repeat an effect. */
+    /** Rule 2: whether one more attempt to this writer could not repeat an effect. */
     private boolean mayRunAt(Gen gen, Engine engine) {
         if (gen.product.effect == Effect.IDEMPOTENT) {
-            return maySendCopies || gen.legsOut == 0;
+            return maySendCopies || gen.attemptsOut == 0;
         }
-        if (gen.legsOut > 0) {
+        if (gen.attemptsOut > 0) {
             return false;
         }
-        for (Leg leg : gen.legs) {
-            if (leg.mayHaveRun() && (gen.product.effect == Effect.SIDE_EFFECTING
-                    || host.now() > leg.sentMs + MEMORY_PART * gen.product.memoryMs
-                    || gen.product.span == Span.ZONE && !leg.engine.zone.equals(engine.zone)
-                    || gen.product.span == Span.RACK && leg.engine.rack != engine.rack)) {
+        for (Attempt attempt : gen.attempts) {
+            if (attempt.mayHaveRun() && (gen.product.effect == Effect.SIDE_EFFECTING
+                    || host.now() > attempt.sentMs + MEMORY_PART * gen.product.memoryMs
+                    || gen.product.span == Span.ZONE && !attempt.engine.zone.equals(engine.zone)
+                    || gen.product.span == Span.RACK && attempt.engine.rack != engine.rack)) {
                 return false;
             }
         }
@@ -621,7 +622,7 @@
 
     /**
      * Rule 4: a chance draw whose mean over all fronts is the part of the budget that a cold engine may get,
-     * by what warm peers take. Danger: one leg a front is too much where there are many fronts, and an
+     * by what warm peers take. Danger: one attempt a front is too much where there are many fronts, and an
      * idle new engine looks best to all of them at once; no draw is worth more than the time since the last.
      */
     private boolean coldDraw(Engine engine, double now) {
@@ -653,14 +654,14 @@
     }
 
     private boolean isSound(Engine engine, double now) {
-        // Danger: a home that has just turned a read away would be asked again until the legs are used up.
-        return now >= engine.suspectUntilMs && (!engine.onTrial || engine.legs.isEmpty())
+        // Danger: a home that has just turned a read away would be asked again until no attempt is left.
+        return now >= engine.suspectUntilMs && (!engine.onTrial || engine.attempts.isEmpty())
                 && (engine.role != Role.READER || now >= engine.fullUntilMs);
     }
 
     /**
-     * Danger: an engine that errs at once is always idle and would draw one leg after the other, until its
-     * generations have used up their legs; that it still answers, probes too, must not clear it.
+     * Danger: an engine that errs at once is always idle and would draw one attempt after another, until its
+     * generations have used up their attempts; that it still answers, probes too, must not clear it.
      */
     private static void answered(Engine engine, boolean erred) {
         engine.errorShare += ERROR_WEIGHT * ((erred ? 1 : 0) - engine.errorShare);
--- a/src/main/java/larchridge/Host.java
+++ b/src/main/java/larchridge/Host.java
@@ -1,21 +1,21 @@
 package larchridge;
 
+import larchridge.state.Attempt;
 import larchridge.state.Engine;
 import larchridge.state.Gen;
-import larchridge.state.Leg;
 
 /** What the decision module can do to the world around it. Times are milliseconds. */
 public interface Host {
     /** The clock; it stands still while the module handles one happening. */
     double now();
 
-    /** Sends a leg; it ends at the latest when the client gives up. */
-    void send(Leg leg);
+    /** Sends an attempt; it ends at the latest when the client gives up. */
+    void send(Attempt attempt);
 
-    /** Stops waiting for a leg; its outcome still comes. */
-    void cancel(Leg leg);
+    /** Stops waiting for an attempt; its outcome still comes. */
+    void cancel(Attempt attempt);
 
-    /** Lets go of every state that is held for a generation and that no leg waits for. */
+    /** Lets go of every state that is held for a generation and that no attempt waits for. */
     void release(Gen gen);
 
     /** Final answer: not now, and trying again is harmless. With comeBackMs 0 there is no advice when. */
--- a/src/main/java/larchridge/baseline/Plain.java
+++ b/src/main/java/larchridge/baseline/Plain.java
@@ -6,11 +6,11 @@
 import java.util.Random;
 import larchridge.Host;
 import larchridge.front.Decider;
+import larchridge.state.Attempt;
 import larchridge.state.Effect;
 import larchridge.state.Engine;
 import larchridge.state.Fleet;
 import larchridge.state.Gen;
-import larchridge.state.Leg;
 import larchridge.state.Listing;
 import larchridge.state.Outcome;
 import larchridge.state.Report;
@@ -33,7 +33,7 @@
     private final Kind kind;
     private final Host host;
     private final Random random;
-    private final int maxLegs;
+    private final int maxAttempts;
     private final Fleet fleet = new Fleet();
     private final List<Gen> open = new ArrayList<>();
     private boolean wakeSet;
@@ -43,7 +43,7 @@
         this.kind = kind;
         this.host = host;
         random = new Random(terms.seed);
-        maxLegs = terms.maxLegs;
+        maxAttempts = terms.maxAttempts;
     }
 
     @Override
@@ -59,15 +59,15 @@
             gen.state = null;
         }
         Engine engine = pick(gen, gen.state == null ? fleet.readers : fleet.writers);
-        if (engine == null || gen.legs.size() + (gen.state == null ? 2 : 1) > maxLegs) {
+        if (engine == null || gen.attempts.size() + (gen.state == null ? 2 : 1) > maxAttempts) {
             giveUp(gen);
             return;
         }
         boolean read = engine.role == Role.READER;
-        Leg leg = new Leg(gen, engine, read, host.now(), gen.promptToks, gen.state == null ? gen.promptToks : 0);
+        Attempt attempt = new Attempt(gen, engine, read, host.now(), gen.promptToks, gen.state == null ? gen.promptToks : 0);
         gen.held |= read;
-        leg.open();
-        host.send(leg);
+        attempt.open();
+        host.send(attempt);
     }
 
     private Engine pick(Gen gen, List<Engine> pool) {
@@ -77,11 +77,11 @@
         return switch (kind) {
             case RANDOM -> pool.get(random.nextInt(pool.size()));
             case ROUND_ROBIN -> pool.get(turn++ % pool.size());
-            case LEAST_OPEN -> pool.stream().min(Comparator.comparingInt(e -> e.legs.size())).get();
+            case LEAST_OPEN -> pool.stream().min(Comparator.comparingInt(e -> e.attempts.size())).get();
             case POWER_OF_TWO -> {
                 Engine one = pool.get(random.nextInt(pool.size()));
                 Engine other = pool.get(random.nextInt(pool.size()));
-                yield one.legs.size() <= other.legs.size() ? one : other;
+                yield one.attempts.size() <= other.attempts.size() ? one : other;
             }
             case PREFIX_HASH -> {
                 Text text = gen.prefix != null ? gen.prefix : gen.session;
@@ -92,39 +92,39 @@
     }
 
     @Override
-    public void readDone(Leg leg, int keptToks, Report report, boolean over) {
-        Gen gen = leg.gen;
-        leg.close();
+    public void readDone(Attempt attempt, int keptToks, Report report, boolean over) {
+        Gen gen = attempt.gen;
+        attempt.close();
         gen.over |= over;
         if (gen.over) {
             host.release(gen);
             return;
         }
-        gen.state = leg;
+        gen.state = attempt;
         advance(gen);
     }
 
     @Override
-    public void begun(Leg leg) {
-        leg.markRead();
-        leg.gen.begun = true;
-        leg.gen.state = null;
+    public void begun(Attempt attempt) {
+        attempt.markRead();
+        attempt.gen.begun = true;
+        attempt.gen.state = null;
     }
 
     @Override
-    public void ended(Leg leg, Outcome outcome, Report report, boolean over) {
-        Gen gen = leg.gen;
-        leg.outcome = outcome;
-        leg.close();
+    public void ended(Attempt attempt, Outcome outcome, Report report, boolean over) {
+        Gen gen = attempt.gen;
+        attempt.outcome = outcome;
+        attempt.close();
         gen.over |= over;
         if (gen.over || gen.begun || outcome == Outcome.NO_STATE) {
             host.release(gen);
             gen.state = null;
         }
-        if (gen.over || gen.begun || gen.legsOut > 0) {
+        if (gen.over || gen.begun || gen.attemptsOut > 0) {
             return;
         }
-        boolean mayRepeat = gen.product.effect == Effect.IDEMPOTENT || gen.legs.stream().noneMatch(Leg::mayHaveRun);
+        boolean mayRepeat = gen.product.effect == Effect.IDEMPOTENT || gen.attempts.stream().noneMatch(Attempt::mayHaveRun);
         if (mayRepeat && host.now() < gen.limitMs - EARLY_MS) {
             advance(gen);
         } else {
@@ -133,16 +133,16 @@
     }
 
     private void giveUp(Gen gen) {
-        for (Leg leg : gen.legs) {
-            if (leg.out && !leg.cancelled) {
-                leg.cancelled = true;
-                host.cancel(leg);
+        for (Attempt attempt : gen.attempts) {
+            if (attempt.out && !attempt.cancelled) {
+                attempt.cancelled = true;
+                host.cancel(attempt);
             }
         }
         departed(gen);
         if (gen.product.effect == Effect.IDEMPOTENT
                 || gen.product.effect == Effect.DEDUPLICATED && gen.product.span == Span.ALL
-                || gen.legs.stream().noneMatch(Leg::mayHaveRun)) {
+                || gen.attempts.stream().noneMatch(Attempt::mayHaveRun)) {
             host.throttle(gen, 0);
         } else {
             host.terminate(gen);
@@ -170,7 +170,7 @@
     @Override
     public void woken() {
         wakeSet = false;
-        open.removeIf(gen -> (gen.over || gen.begun) && gen.legsOut == 0);
+        open.removeIf(gen -> (gen.over || gen.begun) && gen.attemptsOut == 0);
         for (Gen gen : List.copyOf(open)) {
             if (!gen.over && !gen.begun && host.now() >= gen.limitMs - EARLY_MS) {
                 giveUp(gen);
--- a/src/main/java/larchridge/benchlink/Instance.java
+++ b/src/main/java/larchridge/benchlink/Instance.java
@@ -9,9 +9,9 @@
 import larchridge.Choice;
 import larchridge.Host;
 import larchridge.state.Account;
+import larchridge.state.Attempt;
 import larchridge.state.Engine;
 import larchridge.state.Gen;
-import larchridge.state.Leg;
 import larchridge.state.Listing;
 import larchridge.state.Mode;
 import larchridge.state.Outcome;
@@ -126,16 +126,16 @@
         String id = line.text("job");
         Gen gen = gens.get(id);
         int number = (int) line.whole("round_no");
-        if (gen == null || number < 0 || number >= gen.legs.size()) {
+        if (gen == null || number < 0 || number >= gen.attempts.size()) {
             return;
         }
-        Leg leg = gen.legs.get(number);
+        Attempt attempt = gen.attempts.get(number);
         boolean over = line.flag("no_more");
         Report report = report(line);
         String word = line.text("disposition");
         int note = (int) line.decimalOr("note", 0);
         if (word.equals("half_done")) {
-            guarded(() -> choice.readDone(leg, note, report, over));
+            guarded(() -> choice.readDone(attempt, note, report, over));
         } else {
             Outcome outcome = switch (word) {
                 case "pass" -> Outcome.STREAMED;
@@ -148,7 +148,7 @@
                 case "stale_send" -> Outcome.NOT_SENT;
                 default -> throw line.bad("member disposition is '" + word + "'; expected a known outcome");
             };
-            guarded(() -> choice.ended(leg, outcome, report, over));
+            guarded(() -> choice.ended(attempt, outcome, report, over));
         }
         letGo(id, gen);
     }
@@ -156,8 +156,8 @@
     private void begun(Line line) throws BadLine {
         Gen gen = gens.get(line.text("job"));
         int number = (int) line.whole("round_no");
-        if (gen != null && number >= 0 && number < gen.legs.size()) {
-            guarded(() -> choice.begun(gen.legs.get(number)));
+        if (gen != null && number >= 0 && number < gen.attempts.size()) {
+            guarded(() -> choice.begun(gen.attempts.get(number)));
         }
     }
 
@@ -196,7 +196,7 @@
             default -> throw line.bad("member kind is '" + kind
                     + "'; expected INCREMENTAL, FULL, SAVED or FAILED");
         }
-        engines.values().removeIf(engine -> engine.mode == Mode.GONE && engine.legs.isEmpty());
+        engines.values().removeIf(engine -> engine.mode == Mode.GONE && engine.attempts.isEmpty());
     }
 
     private static boolean next(Line line) throws BadLine {
@@ -236,7 +236,7 @@
 
     /** A generation is kept for as long as the wire may still name it. */
     private void letGo(String id, Gen gen) {
-        if (gen.over && gen.legsOut == 0) {
+        if (gen.over && gen.attemptsOut == 0) {
             gens.remove(id);
         }
     }
@@ -255,13 +255,13 @@
     }
 
     @Override
-    public void send(Leg leg) {
-        line("HAND_OFF").text(" job=").text(leg.gen.label).text(" engine=").whole(leg.engine.label).end();
+    public void send(Attempt attempt) {
+        line("HAND_OFF").text(" job=").text(attempt.gen.label).text(" engine=").whole(attempt.engine.label).end();
     }
 
     @Override
-    public void cancel(Leg leg) {
-        line("CANCEL").text(" job=").text(leg.gen.label).text(" round_no=").whole(leg.number).end();
+    public void cancel(Attempt attempt) {
+        line("CANCEL").text(" job=").text(attempt.gen.label).text(" round_no=").whole(attempt.number).end();
     }
 
     @Override
--- a/src/main/java/larchridge/cli/LedgerCommand.java
+++ b/src/main/java/larchridge/cli/LedgerCommand.java
@@ -28,10 +28,10 @@
     @Command(name = "export", mixinStandardHelpOptions = true, description = "Print every record as CSV.")
     int export(@Parameters(paramLabel = "FOLDER") Path folder) {
         try (Ledger ledger = Ledger.look(folder)) {
-            System.out.println("id,tenant,product,at_ms,kind,prompt_tokens,kept_tokens,answer_tokens,wasted_tokens,legs");
+            System.out.println("id,tenant,product,at_ms,kind,prompt_tokens,kept_tokens,answer_tokens,wasted_tokens,attempts");
             ledger.records(u -> System.out.println(u.id() + "," + u.tenant() + "," + u.product() + "," + u.atMs() + ","
                     + u.kind() + "," + u.promptToks() + "," + u.keptToks() + "," + u.outToks() + "," + u.wastedToks()
-                    + "," + u.legs()));
+                    + "," + u.attempts()));
             return 0;
         } catch (BadLedger e) {
             System.err.println(e.getMessage());
--- a/src/main/java/larchridge/drill/Rules.java
+++ b/src/main/java/larchridge/drill/Rules.java
@@ -116,7 +116,7 @@
                 boolean ran = ranOf.getOrDefault(seen.operation(), List.of()).stream()
                         .anyMatch(r -> r.tag().equals(seen.tag()));
                 if (ran && !mayRepeatAnywhere(product)) {
-                    breaches.add(new Breach(2, seen.tag(), "throttled though a leg of it ran"));
+                    breaches.add(new Breach(2, seen.tag(), "throttled though an attempt of it ran"));
                 }
             }
         }
@@ -159,7 +159,7 @@
                 } else {
                     since.putIfAbsent(seen.where(), seen.ms());
                 }
-            } else if (isLeg(seen) && since.containsKey(seen.where())
+            } else if (isAttempt(seen) && since.containsKey(seen.where())
                     && seen.ms() > since.get(seen.where()) + figures.drainGraceMs + figures.slackMs) {
                 breaches.add(new Breach(3, "engine " + seen.where(), seen.rid() + " came "
                         + Math.round(seen.ms() - since.get(seen.where())) + " ms after it was told"));
@@ -169,7 +169,7 @@
 
     /**
      * Rule 4: what is sent to an engine just started stays, in every window, under the stated multiple of what it can
-     * do then. Each leg weighs as the mean of its kind; two legs are allowed for chance.
+     * do then. Each attempt weighs as the mean of its kind; two attempts are allowed for chance.
      */
     static void coldNotPushed(List<Seen> log, Figures figures, List<Breach> breaches) {
         double reads = 0;
@@ -192,7 +192,7 @@
                 }
             }
             Double start = started.get(seen.where());
-            if (!isLeg(seen) || start == null) {
+            if (!isAttempt(seen) || start == null) {
                 continue;
             }
             Make make = figures.makes.get(seen.where());
@@ -207,20 +207,20 @@
             }
             double share = make.coldShare() + (1 - make.coldShare()) * age / make.coldMs();
             // A reader does tokens; a writer does streams, each for about the time that its slots allow.
-            double legsPerMs = make.role() == Role.READER ? make.readToksPerMs() / Math.max(1, meanRead)
+            double attemptsPerMs = make.role() == Role.READER ? make.readToksPerMs() / Math.max(1, meanRead)
                     : make.streams() / (30 * make.tokMs());
-            double budget = figures.tipMultiple * share * legsPerMs * figures.tipMs + 2;
+            double budget = figures.tipMultiple * share * attemptsPerMs * figures.tipMs + 2;
             if (window.size() > budget && told.add(seen.where())) {
-                breaches.add(new Breach(4, "engine " + seen.where(), window.size() + " legs within "
+                breaches.add(new Breach(4, "engine " + seen.where(), window.size() + " attempts within "
                         + Math.round(figures.tipMs) + " ms at age " + Math.round(age) + " ms, budget "
                         + Math.round(budget)));
             }
         }
     }
 
-    /** Rule 5: a state waits no longer than stated while none of its generation's legs is out. */
+    /** Rule 5: a state waits no longer than stated while none of its generation's attempts is out. */
     static void nothingPinned(List<Seen> log, Figures figures, List<Breach> breaches) {
-        Map<String, Integer> legsOut = new HashMap<>();
+        Map<String, Integer> attemptsOut = new HashMap<>();
         Map<String, Double> idleSince = new HashMap<>();
         Map<String, List<Seen>> held = new HashMap<>();
         Set<String> orphans = orphans(log);
@@ -231,11 +231,11 @@
             }
             switch (seen.kind()) {
                 case READ_IN, WRITE_IN -> {
-                    look(seen.tag(), seen.ms(), held, legsOut, idleSince, figures, breaches);
-                    legsOut.merge(seen.tag(), 1, Integer::sum);
+                    look(seen.tag(), seen.ms(), held, attemptsOut, idleSince, figures, breaches);
+                    attemptsOut.merge(seen.tag(), 1, Integer::sum);
                 }
                 case LEG_OUT -> {
-                    if (legsOut.merge(seen.tag(), -1, Integer::sum) <= 0) {
+                    if (attemptsOut.merge(seen.tag(), -1, Integer::sum) <= 0) {
                         idleSince.put(seen.tag(), seen.ms());
                     }
                 }
@@ -244,7 +244,7 @@
                     idleSince.merge(seen.tag(), seen.ms(), Math::max);
                 }
                 case STATE_GONE -> {
-                    look(seen.tag(), seen.ms(), held, legsOut, idleSince, figures, breaches);
+                    look(seen.tag(), seen.ms(), held, attemptsOut, idleSince, figures, breaches);
                     List<Seen> states = held.get(seen.tag());
                     if (states != null) {
                         states.removeIf(s -> s.where() == seen.where() && s.rid().equals(seen.rid()));
@@ -254,7 +254,7 @@
             }
         }
         for (String tag : new TreeMap<>(held).keySet()) {
-            look(tag, end, held, legsOut, idleSince, figures, breaches);
+            look(tag, end, held, attemptsOut, idleSince, figures, breaches);
         }
     }
 
@@ -278,17 +278,17 @@
         return orphans;
     }
 
-    private static void look(String tag, double ms, Map<String, List<Seen>> held, Map<String, Integer> legsOut,
+    private static void look(String tag, double ms, Map<String, List<Seen>> held, Map<String, Integer> attemptsOut,
                              Map<String, Double> idleSince, Figures figures, List<Breach> breaches) {
         List<Seen> states = held.get(tag);
-        if (states == null || states.isEmpty() || legsOut.getOrDefault(tag, 0) > 0) {
+        if (states == null || states.isEmpty() || attemptsOut.getOrDefault(tag, 0) > 0) {
             return;
         }
         for (Seen state : states) {
             double idle = ms - Math.max(state.ms(), idleSince.getOrDefault(tag, state.ms()));
             if (idle > figures.releaseMs + figures.slackMs) {
                 breaches.add(new Breach(5, tag, "state " + state.rid() + " at engine " + state.where() + " waited "
-                        + Math.round(idle) + " ms with no leg out"));
+                        + Math.round(idle) + " ms with no attempt out"));
             }
         }
     }
@@ -304,7 +304,7 @@
         return byTag;
     }
 
-    private static boolean isLeg(Seen seen) {
+    private static boolean isAttempt(Seen seen) {
         return seen.kind() == Seen.Kind.READ_IN || seen.kind() == Seen.Kind.WRITE_IN;
     }
 }
--- a/src/main/java/larchridge/drill/Seen.java
+++ b/src/main/java/larchridge/drill/Seen.java
@@ -6,7 +6,7 @@
  * @param ms     one monotonic clock for all of a run, from its start
  * @param kind   what was seen
  * @param where  the engine's id, or the front's number for what clients saw
- * @param rid    a leg's name as the front gave it, a client's tenant, or null
+ * @param rid    an attempt's name as the front gave it, a client's tenant, or null
  * @param tag    the client's own mark of a try, {@code operation#try}, or null
  * @param amount prompt tokens, milliseconds of patience, tokens got or sent, or 1 for a cold start
  * @param word   product, final answer, mode or trouble
--- a/src/main/java/larchridge/emulator/EngineModel.java
+++ b/src/main/java/larchridge/emulator/EngineModel.java
@@ -61,7 +61,7 @@
 
     // ------------------------------------------------------------------ what comes
 
-    /** Takes a leg; false if as many wait as may. */
+    /** Takes an attempt; false if as many wait as may. */
     public boolean submit(Job job) {
         if (waiting.size() >= silicon.queue()) {
             return false;
@@ -78,7 +78,7 @@
         memory.filled(job.prompt, job.blocks, 0, job.prompt.blocks.length);
     }
 
-    /** A leg is called off, or its client has left. */
+    /** An attempt is called off, or its client has left. */
     public void drop(Job job) {
         if (!job.gone) {
             toksLost += job.made;
@@ -193,7 +193,7 @@
         return age >= silicon.coldMs() ? 1 : silicon.coldShare() + (1 - silicon.coldShare()) * Math.max(0, age) / silicon.coldMs();
     }
 
-    /** Finds memory for the whole of a leg's prompt; a state that waits may have to go for it. */
+    /** Finds memory for the whole of an attempt's prompt; a state that waits may have to go for it. */
     private boolean place(Job job) {
         int found = memory.found(job.prompt);
         int blocks = job.target / silicon.blockToks() + 1;
@@ -296,7 +296,7 @@
 
     // ------------------------------------------------------------------ what it tells
 
-    /** Legs here, states that wait included. */
+    /** Attempts here, states that wait included. */
     public int inflight() {
         return running.size() + waiting.size() + held.size();
     }
--- a/src/main/java/larchridge/emulator/Job.java
+++ b/src/main/java/larchridge/emulator/Job.java
@@ -3,9 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** One leg at an engine: a prompt to be read, an answer to be written of a state fetched from elsewhere, or both. */
+/** One attempt at an engine: a prompt to be read, an answer to be written of a state fetched from elsewhere, or both. */
 public final class Job {
-    /** What is done of a leg here. */
+    /** What is done of an attempt here. */
     public enum Kind { READ, WRITE, BOTH }
 
     public final String rid;
--- a/src/main/java/larchridge/emulator/Silicon.java
+++ b/src/main/java/larchridge/emulator/Silicon.java
@@ -9,7 +9,7 @@
  * @param blocks     blocks of memory
  * @param batchToks  tokens that a step may work on, prompts in chunks and one for each answer
  * @param seqs       prompts and answers in work at a time
- * @param queue      legs that may wait for that
+ * @param queue      attempts that may wait for that
  * @param lapseMs    after which a state that nobody fetches goes
  * @param coldShare  of its speed right after it started, growing evenly to all of it within coldMs
  * @param evictsHeld whether states that wait go when memory is short
--- a/src/main/java/larchridge/enginelink/CompletionsLink.java
+++ b/src/main/java/larchridge/enginelink/CompletionsLink.java
@@ -24,8 +24,8 @@
 
 /**
  * Engines over the OpenAI-compatible completions API with reading and writing apart, as vLLM and others publish it:
- * a read leg asks for one token with {@code do_remote_decode}, a write leg gives the handle of that state with
- * {@code do_remote_prefill} and is streamed as server-sent events. A leg is called off by closing its connection.
+ * a read attempt asks for one token with {@code do_remote_decode}, a write attempt gives the handle of that state with
+ * {@code do_remote_prefill} and is streamed as server-sent events. An attempt is called off by closing its connection.
  */
 public final class CompletionsLink implements EngineLink {
     private static final Logger LOG = LoggerFactory.getLogger(CompletionsLink.class);
@@ -115,7 +115,7 @@
     @Override
     public void release(Spot spot, String rid) {
         if (releases >= MOST_RELEASES) {
-            LOG.atWarn().addKeyValue("engine", spot).addKeyValue("leg", rid).log("too many releases at once");
+            LOG.atWarn().addKeyValue("engine", spot).addKeyValue("attempt", rid).log("too many releases at once");
             return;
         }
         releases++;
@@ -135,7 +135,7 @@
                                 timer -> release(spot, rid, tries - 1));
                     } else {
                         releases--;
-                        LOG.atWarn().addKeyValue("engine", spot).addKeyValue("leg", rid)
+                        LOG.atWarn().addKeyValue("engine", spot).addKeyValue("attempt", rid)
                                 .log("state not released; the engine's own lapse must free it");
                     }
                 });
@@ -161,7 +161,7 @@
                 .setConnectTimeout((long) limit.connectMs);
     }
 
-    /** One leg on its way. */
+    /** One attempt on its way. */
     private final class Out implements Flight {
         private final Order order;
         private final Hearing hearing;
@@ -206,7 +206,7 @@
                     return;
                 }
                 request = connected.result();
-                // Danger: a leg that waited for a connection would reach an engine that has begun to drain since.
+                // Danger: an attempt that waited for a connection would reach an engine that has begun to drain since.
                 if (!order.stillMay().getAsBoolean()) {
                     verdict.unfit();
                     request.reset();
--- a/src/main/java/larchridge/enginelink/EngineLink.java
+++ b/src/main/java/larchridge/enginelink/EngineLink.java
@@ -4,13 +4,13 @@
 
 /** How engines are spoken to; one implementation a protocol, one instance a front. */
 public interface EngineLink {
-    /** Sends a leg that reads a prompt and leaves its state there. */
+    /** Sends an attempt that reads a prompt and leaves its state there. */
     Flight read(Order order, Hearing hearing);
 
-    /** Sends a leg that writes the answer. */
+    /** Sends an attempt that writes the answer. */
     Flight write(Order order, Hearing hearing);
 
-    /** Lets go of the state that a read leg left or may have left. */
+    /** Lets go of the state that a read attempt left or may have left. */
     void release(Spot spot, String rid);
 
     /** Asks an engine for its load. */
@@ -25,7 +25,7 @@
     /** Closes what is open. */
     void close();
 
-    /** A leg that is out. */
+    /** An attempt that is out. */
     interface Flight {
         /** Stops waiting; its outcome still comes, unless it has come. */
         void cancel();
--- a/src/main/java/larchridge/enginelink/Hearing.java
+++ b/src/main/java/larchridge/enginelink/Hearing.java
@@ -3,9 +3,9 @@
 import larchridge.state.Outcome;
 import larchridge.state.Report;
 
-/** What a leg tells its sender, on the sender's loop and never from inside the call that sent or cancelled it. */
+/** What an attempt tells its sender, on the sender's loop and never from inside the call that sent or cancelled it. */
 public interface Hearing {
-    /** The prompt is read and its state waits; the last call for this leg. */
+    /** The prompt is read and its state waits; the last call for this attempt. */
     void read(StateHandle state, int keptToks, int promptToks, Report report);
 
     /** The answer begins; pieces follow. */
@@ -22,11 +22,11 @@
     /** All that came in one go is told; what was gathered of it may go on now, in one write. */
     void soFar();
 
-    /** The engine says that the request itself can't be used, by whomever; the end of the leg follows. */
+    /** The engine says that the request itself can't be used, by whomever; the end of the attempt follows. */
     default void unusable() {
         return;
     }
 
-    /** The last call for this leg; ending is given with STREAMED only. */
+    /** The last call for this attempt; ending is given with STREAMED only. */
     void ended(Outcome outcome, Report report, Ending ending);
 }
--- a/src/main/java/larchridge/enginelink/Order.java
+++ b/src/main/java/larchridge/enginelink/Order.java
@@ -4,14 +4,14 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * What one leg asks of an engine.
+ * What one attempt asks of an engine.
  *
- * @param rid       names the leg at the engine, also for its release
+ * @param rid       names the attempt at the engine, also for its release
  * @param spot      where the engine listens
  * @param state     the read state to fetch, or null to read in place (or to read only)
  * @param repeatKey what engines drop repeats by, or null
  * @param passage   what goes on as it came, or null
- * @param stillMay  asked at the last moment before the leg is written; false keeps it from being sent
+ * @param stillMay  asked at the last moment before the attempt is written; false keeps it from being sent
  */
 public record Order(String rid, Spot spot, String model, String prompt, int maxToks, List<String> stops,
                     Sampling sampling, StateHandle state, String repeatKey, Passage passage,
--- a/src/main/java/larchridge/enginelink/Verdict.java
+++ b/src/main/java/larchridge/enginelink/Verdict.java
@@ -3,7 +3,7 @@
 import larchridge.state.Outcome;
 
 /**
- * What became of a leg, judged from what was seen of it. Rule 2 rests on this: an outcome that proves a leg never
+ * What became of an attempt, judged from what was seen of it. Rule 2 rests on this: an outcome that proves an attempt never
  * ran is only given where the engine could not have seen it or says so itself.
  */
 public final class Verdict {
--- a/src/main/java/larchridge/front/Decider.java
+++ b/src/main/java/larchridge/front/Decider.java
@@ -3,9 +3,9 @@
 import java.util.List;
 import larchridge.Choice;
 import larchridge.Host;
+import larchridge.state.Attempt;
 import larchridge.state.Engine;
 import larchridge.state.Gen;
-import larchridge.state.Leg;
 import larchridge.state.Listing;
 import larchridge.state.Outcome;
 import larchridge.state.Report;
@@ -15,11 +15,11 @@
 public interface Decider {
     void arrived(Gen gen);
 
-    void readDone(Leg leg, int keptToks, Report report, boolean over);
+    void readDone(Attempt attempt, int keptToks, Report report, boolean over);
 
-    void begun(Leg leg);
+    void begun(Attempt attempt);
 
-    void ended(Leg leg, Outcome outcome, Report report, boolean over);
+    void ended(Attempt attempt, Outcome outcome, Report report, boolean over);
 
     void departed(Gen gen);
 
@@ -44,18 +44,18 @@
             }
 
             @Override
-            public void readDone(Leg leg, int keptToks, Report report, boolean over) {
-                choice.readDone(leg, keptToks, report, over);
+            public void readDone(Attempt attempt, int keptToks, Report report, boolean over) {
+                choice.readDone(attempt, keptToks, report, over);
             }
 
             @Override
-            public void begun(Leg leg) {
-                choice.begun(leg);
+            public void begun(Attempt attempt) {
+                choice.begun(attempt);
             }
 
             @Override
-            public void ended(Leg leg, Outcome outcome, Report report, boolean over) {
-                choice.ended(leg, outcome, report, over);
+            public void ended(Attempt attempt, Outcome outcome, Report report, boolean over) {
+                choice.ended(attempt, outcome, report, over);
             }
 
             @Override
--- a/src/main/java/larchridge/front/Front.java
+++ b/src/main/java/larchridge/front/Front.java
@@ -27,10 +27,10 @@
 import larchridge.planner.Feeling;
 import larchridge.site.Site;
 import larchridge.state.Account;
+import larchridge.state.Attempt;
 import larchridge.state.Effect;
 import larchridge.state.Engine;
 import larchridge.state.Gen;
-import larchridge.state.Leg;
 import larchridge.state.Listing;
 import larchridge.state.Mode;
 import larchridge.state.Outcome;
@@ -65,7 +65,7 @@
     private final Ledger ledger;
     private double nowMs;
 
-    /** Open generations in the order taken; those whose legs are all home and that are answered leave. */
+    /** Open generations in the order taken; those whose attempts are all home and that are answered leave. */
     private final Map<Gen, Open> open = new LinkedHashMap<>();
     private final Map<Long, Engine> engines = new HashMap<>();
     private final Map<Engine, Row> rows = new HashMap<>();
@@ -261,7 +261,7 @@
         abandon(one);
     }
 
-    /** The module is told, and every leg is called off. */
+    /** The module is told, and every attempt is called off. */
     private void abandon(Open one) {
         guarded(one, () -> choice.departed(one.gen));
         for (Trip trip : one.trips) {
@@ -339,20 +339,20 @@
     }
 
     @Override
-    public void send(Leg leg) {
-        Open one = open.get(leg.gen);
-        Row row = rows.get(leg.engine);
+    public void send(Attempt attempt) {
+        Open one = open.get(attempt.gen);
+        Row row = rows.get(attempt.engine);
         Spot spot = new Spot(row.host(), row.port());
-        Trip source = leg.read || leg.gen.state == null ? null : one.tripOf(leg.gen.state);
-        Trip trip = new Trip(leg, spot, leg.gen.label + "." + leg.number, source);
+        Trip source = attempt.read || attempt.gen.state == null ? null : one.tripOf(attempt.gen.state);
+        Trip trip = new Trip(attempt, spot, attempt.gen.label + "." + attempt.number, source);
         one.trips.add(trip);
         Ask ask = one.ask;
         Order order = new Order(trip.rid, spot, ask.model(), ask.prompt(), ask.maxToks(), ask.stops(),
                 ask.sampling(), source == null ? null : source.state, repeatKey(one), ask.passage(),
-                () -> leg.engine.mode == Mode.READY && !one.duty.isDone());
+                () -> attempt.engine.mode == Mode.READY && !one.duty.isDone());
         Ears ears = new Ears(one, trip);
-        trip.holds = leg.read;
-        trip.flight = leg.read ? link.read(order, ears) : link.write(order, ears);
+        trip.holds = attempt.read;
+        trip.flight = attempt.read ? link.read(order, ears) : link.write(order, ears);
         if (one.paused) {
             trip.flight.pause();
         }
@@ -367,8 +367,8 @@
     }
 
     @Override
-    public void cancel(Leg leg) {
-        callOff(open.get(leg.gen).tripOf(leg), false);
+    public void cancel(Attempt attempt) {
+        callOff(open.get(attempt.gen).tripOf(attempt), false);
     }
 
     private void callOff(Trip trip, boolean timeIsUp) {
@@ -377,7 +377,7 @@
         } else {
             trip.flight.cancel();
         }
-        if (trip.leg.read && trip.holds) {
+        if (trip.attempt.read && trip.holds) {
             // Danger: a read that ended as it was called off has left a state that no outcome tells of.
             trip.holds = false;
             link.release(trip.spot, trip.rid);
@@ -454,7 +454,7 @@
     private void answered(Open one, String kind) {
         meters.answered(number, one.gen.product.name, kind, nowMs - one.gen.arrivedMs);
         LOG.atDebug().addKeyValue("generation", one.gen.label).addKeyValue("front", number)
-                .addKeyValue("product", one.gen.product.name).addKeyValue("legs", one.trips.size())
+                .addKeyValue("product", one.gen.product.name).addKeyValue("attempts", one.trips.size())
                 .addKeyValue("ms", Math.round(nowMs - one.gen.arrivedMs)).log(kind);
     }
 
@@ -490,7 +490,7 @@
 
     // ------------------------------------------------------------------ what engines tell
 
-    /** Hears one leg and tells the module. */
+    /** Hears one attempt and tells the module. */
     private final class Ears implements Hearing {
         private final Open one;
         private final Trip trip;
@@ -508,9 +508,9 @@
             trip.readToks = one.meter.read(promptToks);
             one.ask.reported().accept(promptToks);
             trip.keptToks = keptToks;
-            meters.leg(number, "read", "READ");
+            meters.attempt(number, "read", "READ");
             traced("READ");
-            guarded(one, () -> choice.readDone(trip.leg, keptToks, report, one.duty.isDone()));
+            guarded(one, () -> choice.readDone(trip.attempt, keptToks, report, one.duty.isDone()));
             settle(one);
         }
 
@@ -534,7 +534,7 @@
             } else {
                 one.meter.begun(one.ask.promptToks(), 0, false);
             }
-            guarded(one, () -> choice.begun(trip.leg));
+            guarded(one, () -> choice.begun(trip.attempt));
             release(one.gen);
             one.quietTimer = ground.in(site.limit.quietStreamMs, () -> quiet(one));
             if (!one.duty.isDone()) {
@@ -555,9 +555,9 @@
         }
 
         private void traced(String what) {
-            LOG.atDebug().addKeyValue("generation", one.gen.label).addKeyValue("leg", trip.leg.number)
-                    .addKeyValue("engine", trip.leg.engine.label).addKeyValue("toks", one.gen.promptToks)
-                    .addKeyValue("sent", Math.round(trip.leg.sentMs - one.gen.arrivedMs))
+            LOG.atDebug().addKeyValue("generation", one.gen.label).addKeyValue("attempt", trip.attempt.number)
+                    .addKeyValue("engine", trip.attempt.engine.label).addKeyValue("toks", one.gen.promptToks)
+                    .addKeyValue("sent", Math.round(trip.attempt.sentMs - one.gen.arrivedMs))
                     .addKeyValue("ms", Math.round(nowMs - one.gen.arrivedMs)).log(what);
         }
 
@@ -580,7 +580,7 @@
         @Override
         public void unusable() {
             tick();
-            // Danger: sent on, it would use up its legs and let every engine that rightly refuses it seem to fail.
+            // Danger: sent on, it would use up its attempts and let every engine that rightly refuses it seem to fail.
             trip.ended = true;
             terminate(one, Client.Cause.UNUSABLE);
             abandon(one);
@@ -590,7 +590,7 @@
         public void ended(Outcome outcome, Report report, Ending ending) {
             tick();
             trip.ended = true;
-            meters.leg(number, trip.leg.read ? "read" : "write", outcome.name());
+            meters.attempt(number, trip.attempt.read ? "read" : "write", outcome.name());
             if (trip.holds) {
                 trip.holds = false;
                 if (!outcome.neverRan) {
@@ -604,14 +604,14 @@
                     answered(one, "streamed");
                     recorded(one, () -> one.client.streamed(ending));
                 } else {
-                    // A stream that breaks is lost: part of it has been seen, so no other leg can go on with it.
+                    // A stream that breaks is lost: part of it has been seen, so no other attempt can go on with it.
                     terminate(one, Client.Cause.BROKEN);
                 }
             }
             boolean over = one.duty.isDone();
-            LOG.atDebug().addKeyValue("generation", one.gen.label).addKeyValue("leg", trip.leg.number)
-                    .addKeyValue("engine", trip.leg.engine.label).log(outcome.name());
-            guarded(one, () -> choice.ended(trip.leg, outcome, report, over));
+            LOG.atDebug().addKeyValue("generation", one.gen.label).addKeyValue("attempt", trip.attempt.number)
+                    .addKeyValue("engine", trip.attempt.engine.label).log(outcome.name());
+            guarded(one, () -> choice.ended(trip.attempt, outcome, report, over));
             settle(one);
         }
     }
@@ -638,7 +638,7 @@
             Engine engine = engines.computeIfAbsent(row.id(), Engine::new);
             Row before = rows.get(engine);
             if (before != null && (before.port() != row.port() || !before.host().equals(row.host()))) {
-                // Danger: what is known of an address, and the legs out there, are not those of the new one.
+                // Danger: what is known of an address, and the attempts out there, are not those of the new one.
                 engine = new Engine(row.id());
                 engines.put(row.id(), engine);
             }
@@ -647,7 +647,7 @@
                     row.role(), row.memoryToks()));
         }
         guarded(null, () -> choice.listed(entries, true));
-        engines.values().removeIf(engine -> engine.mode == Mode.GONE && engine.legs.isEmpty());
+        engines.values().removeIf(engine -> engine.mode == Mode.GONE && engine.attempts.isEmpty());
         rows.keySet().removeIf(engine -> !engines.containsValue(engine));
         settleAll();
     }
@@ -736,7 +736,7 @@
         if (open.size() > 0) {
             List<Open> done = null;
             for (Open one : open.values()) {
-                if (one.duty.isDone() && one.gen.legsOut == 0) {
+                if (one.duty.isDone() && one.gen.attemptsOut == 0) {
                     done = done == null ? new ArrayList<>() : done;
                     done.add(one);
                 }
@@ -760,10 +760,10 @@
         }
         if (!one.recorded) {
             record(one, usage(one), null);
-        } else if (one.meter.wastedToks() > one.recordedWaste || one.trips.size() > one.recordedLegs) {
-            // What a second leg did that came home after the answer; its record is joined to the first.
+        } else if (one.meter.wastedToks() > one.recordedWaste || one.trips.size() > one.recordedAttempts) {
+            // What a second attempt did that came home after the answer; its record is joined to the first.
             record(one, new Usage(one.billId, one.ask.tenant().name(), one.gen.product.name, (long) nowMs, "waste",
-                    0, 0, 0, one.meter.wastedToks() - one.recordedWaste, one.trips.size() - one.recordedLegs), null);
+                    0, 0, 0, one.meter.wastedToks() - one.recordedWaste, one.trips.size() - one.recordedAttempts), null);
         }
     }
 
@@ -803,7 +803,7 @@
         };
         one.recorded = record(one, usage(one), () -> ground.later(once));
         one.recordedWaste = one.meter.wastedToks();
-        one.recordedLegs = one.trips.size();
+        one.recordedAttempts = one.trips.size();
         double wait = one.recorded ? site.answerWaitsMs : 0;
         wait = one.ask.whole() ? Math.min(wait, one.wholeAtMs - LAST_RESORT_MS - nowMs) : wait;
         if (wait <= 0) {
@@ -824,9 +824,9 @@
         budgets.remember(tenant, product, used, nowMs);
     }
 
-    /** A generation that is answered and has no leg out is let go of. */
+    /** A generation that is answered and has no attempt out is let go of. */
     private void settle(Open one) {
-        if (!one.duty.isDone() || one.gen.legsOut > 0 || open.get(one.gen) == null) {
+        if (!one.duty.isDone() || one.gen.attemptsOut > 0 || open.get(one.gen) == null) {
             return;
         }
         release(one.gen);
--- a/src/main/java/larchridge/front/Open.java
+++ b/src/main/java/larchridge/front/Open.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import larchridge.budget.Charge;
 import larchridge.budget.Meter;
+import larchridge.state.Attempt;
 import larchridge.state.Gen;
-import larchridge.state.Leg;
 
 /** A generation that this front has taken, with its client and its trips; a dialect's handle on it. */
 public final class Open {
@@ -27,10 +27,10 @@
     double lastPieceMs;
     double limitAtMs;
     double wholeAtMs;
-    /** Whether its use is in the ledger already, and the waste and legs of that record. */
+    /** Whether its use is in the ledger already, and the waste and attempts of that record. */
     boolean recorded;
     long recordedWaste;
-    int recordedLegs;
+    int recordedAttempts;
     long limitTimer = -1;
     long quietTimer = -1;
 
@@ -61,7 +61,7 @@
         return gen.label;
     }
 
-    Trip tripOf(Leg leg) {
-        return trips.get(leg.number);
+    Trip tripOf(Attempt attempt) {
+        return trips.get(attempt.number);
     }
 }
--- a/src/main/java/larchridge/front/Trip.java
+++ b/src/main/java/larchridge/front/Trip.java
@@ -3,14 +3,14 @@
 import larchridge.enginelink.EngineLink;
 import larchridge.enginelink.Spot;
 import larchridge.enginelink.StateHandle;
-import larchridge.state.Leg;
+import larchridge.state.Attempt;
 
-/** The front's side of a leg: where it went, what it holds there, and the way to stop it. */
+/** The front's side of an attempt: where it went, what it holds there, and the way to stop it. */
 final class Trip {
-    final Leg leg;
+    final Attempt attempt;
     final Spot spot;
     final String rid;
-    /** The read whose state this leg is to fetch, or null. */
+    /** The read whose state this attempt is to fetch, or null. */
     final Trip source;
     EngineLink.Flight flight;
     StateHandle state;
@@ -21,8 +21,8 @@
     long readToks;
     int keptToks;
 
-    Trip(Leg leg, Spot spot, String rid, Trip source) {
-        this.leg = leg;
+    Trip(Attempt attempt, Spot spot, String rid, Trip source) {
+        this.attempt = attempt;
         this.spot = spot;
         this.rid = rid;
         this.source = source;
--- a/src/main/java/larchridge/ledger/Usage.java
+++ b/src/main/java/larchridge/ledger/Usage.java
@@ -16,7 +16,7 @@
  * @param wastedToks tokens that engines did for it and nobody is billed for
  */
 public record Usage(String id, String tenant, String product, long atMs, String kind, long promptToks, long keptToks,
-                    long outToks, long wastedToks, int legs) {
+                    long outToks, long wastedToks, int attempts) {
 
     public YearMonth month() {
         return YearMonth.from(Instant.ofEpochMilli(atMs).atOffset(ZoneOffset.UTC));
@@ -31,17 +31,17 @@
         Usage less = more == again ? before : again;
         return new Usage(more.id, more.tenant, more.product, before.atMs, more.kind, more.promptToks, more.keptToks,
                 more.outToks, more.wastedToks + less.wastedToks + less.promptToks + less.outToks,
-                more.legs + less.legs);
+                more.attempts + less.attempts);
     }
 
     byte[] bytes() {
         return UsageForm.newBuilder().setTenant(tenant).setProduct(product).setAtMs(atMs).setKind(kind)
                 .setPromptToks(promptToks).setKeptToks(keptToks).setOutToks(outToks).setWastedToks(wastedToks)
-                .setLegs(legs).build().toByteArray();
+                .setAttempts(attempts).build().toByteArray();
     }
 
     static Usage of(String id, UsageForm form) {
         return new Usage(id, form.getTenant(), form.getProduct(), form.getAtMs(), form.getKind(),
-                form.getPromptToks(), form.getKeptToks(), form.getOutToks(), form.getWastedToks(), form.getLegs());
+                form.getPromptToks(), form.getKeptToks(), form.getOutToks(), form.getWastedToks(), form.getAttempts());
     }
 }
--- a/src/main/java/larchridge/metrics/Meters.java
+++ b/src/main/java/larchridge/metrics/Meters.java
@@ -60,8 +60,8 @@
         time("larchridge_first_token_time", front, product, ms);
     }
 
-    public void leg(int front, String stage, String outcome) {
-        count("larchridge_legs", front, "stage", stage, "outcome", outcome);
+    public void attempt(int front, String stage, String outcome) {
+        count("larchridge_attempts", front, "stage", stage, "outcome", outcome);
     }
 
     public void piece() {
--- a/src/main/java/larchridge/node/Node.java
+++ b/src/main/java/larchridge/node/Node.java
@@ -155,15 +155,15 @@
         return loop.submit(link::openTales).get();
     }
 
-    /** Legs out by the module's count, or -1 if the link's count differs at any engine. */
-    int legsOut() throws InterruptedException, ExecutionException {
+    /** Attempts out by the module's count, or -1 if the link's count differs at any engine. */
+    int attemptsOut() throws InterruptedException, ExecutionException {
         return loop.submit(() -> {
-            int[] legs = new int[1];
+            int[] attempts = new int[1];
             front.engines((spot, engine) -> {
-                boolean same = engine.legs.size() == link.legsOut(spot);
-                legs[0] = same && legs[0] >= 0 ? legs[0] + engine.legs.size() : -1;
+                boolean same = engine.attempts.size() == link.attemptsOut(spot);
+                attempts[0] = same && attempts[0] >= 0 ? attempts[0] + engine.attempts.size() : -1;
             });
-            return legs[0];
+            return attempts[0];
         }).get();
     }
 
@@ -230,7 +230,7 @@
         }
     }
 
-    /** The module's picture of each engine beside what the link has there: legs, tokens, mode; flights, connections. */
+    /** The module's picture of each engine beside what the link has there: attempts, tokens, mode; flights, connections. */
     private String picture() {
         StringBuilder text = new StringBuilder(200);
         double now = ground.nowMs();
@@ -239,8 +239,8 @@
         front.engines((spot, engine) -> {
             text.append("; ").append(Long.toHexString(engine.label >>> 48)).append(' ').append(engine.role).append(' ')
                     .append(engine.mode).append(engine.suspectUntilMs > now ? " suspect" : "")
-                    .append(" legs ").append(engine.legs.size()).append(" unread ").append(Math.round(engine.unreadToks))
-                    .append(" writes ").append(Math.round(engine.writeToks)).append(" out ").append(link.legsOut(spot))
+                    .append(" attempts ").append(engine.attempts.size()).append(" unread ").append(Math.round(engine.unreadToks))
+                    .append(" writes ").append(Math.round(engine.writeToks)).append(" out ").append(link.attemptsOut(spot))
                     .append(" connections ").append(link.connectionsTo(spot));
         });
         return text.toString();
--- a/src/main/java/larchridge/node/link/PassageLink.java
+++ b/src/main/java/larchridge/node/link/PassageLink.java
@@ -49,8 +49,8 @@
 
 /**
  * Engines that speak the clients' own protocol: requests go on as they came, events come back as they are. A read state
- * belongs to the request's id at whichever engine, so that it is let go of once for all of a request's legs, and only
- * while no leg may still fetch it. All methods run on the loop.
+ * belongs to the request's id at whichever engine, so that it is let go of once for all of a request's attempts, and only
+ * while no attempt may still fetch it. All methods run on the loop.
  */
 public final class PassageLink implements EngineLink {
     static final String ID = "Req-Id";
@@ -81,7 +81,7 @@
     /** A read state waits under the request's own id. */
     private static final class Waiting implements StateHandle { }
 
-    /** The legs of one request that are out here, and whether a state of it is to be let go of. */
+    /** The attempts of one request that are out here, and whether a state of it is to be let go of. */
     private static final class Tale {
         final String id;
         int out;
@@ -136,10 +136,10 @@
         spots = List.copyOf(now);
     }
 
-    /** Legs that are out, for the picture beside the module's. */
-    public int legsOut(Spot spot) {
+    /** Attempts that are out, for the picture beside the module's. */
+    public int attemptsOut(Spot spot) {
         Pool pool = pools.get(spot);
-        return pool == null ? 0 : pool.legs;
+        return pool == null ? 0 : pool.attempts;
     }
 
     public int connectionsTo(Spot spot) {
@@ -147,7 +147,7 @@
         return pool == null ? 0 : pool.size();
     }
 
-    /** Requests with a leg out or a state to let go of. */
+    /** Requests with an attempt out or a state to let go of. */
     public int openTales() {
         return tales.size();
     }
@@ -222,7 +222,7 @@
         return request;
     }
 
-    // ------------------------------------------------------------------ legs
+    // ------------------------------------------------------------------ attempts
 
     @Override
     public Flight read(Order order, Hearing hearing) {
@@ -238,18 +238,18 @@
         Tale tale = tales.computeIfAbsent(order.passage().id(), Tale::new);
         tale.out++;
         Pool pool = pool(order.spot());
-        pool.legs++;
-        Leg leg = new Leg(order, hearing, reads, tale, pool);
-        leg.wire = start(pool, leg);
-        if (leg.wire == null) {
-            leg.verdict.unfit();
-            leg.endLater();
-        }
-        return leg;
+        pool.attempts++;
+        Attempt attempt = new Attempt(order, hearing, reads, tale, pool);
+        attempt.wire = start(pool, attempt);
+        if (attempt.wire == null) {
+            attempt.verdict.unfit();
+            attempt.endLater();
+        }
+        return attempt;
     }
 
-    /** One leg that is out. */
-    private final class Leg implements Call, Flight {
+    /** One attempt that is out. */
+    private final class Attempt implements Call, Flight {
         private final Order order;
         private final Hearing hearing;
         private final boolean reads;
@@ -264,7 +264,7 @@
         private Report report;
         private ByteArrayOutputStream note;
 
-        Leg(Order order, Hearing hearing, boolean reads, Tale tale, Pool pool) {
+        Attempt(Order order, Hearing hearing, boolean reads, Tale tale, Pool pool) {
             this.order = order;
             this.hearing = hearing;
             this.reads = reads;
@@ -437,7 +437,7 @@
 
         private void home() {
             tale.out--;
-            pool.legs--;
+            pool.attempts--;
             if (verdict.status() != 0) {
                 pool.heardMs = ground.nowMs();
             }
@@ -464,7 +464,7 @@
     }
 
     /**
-     * Danger: a release names the whole request; sent while a leg is out it would free the state that this leg is to
+     * Danger: a release names the whole request; sent while an attempt is out it would free the state that this attempt is to
      * fetch. Once a stream has begun nothing is left to be fetched.
      */
     private void settle(Tale tale) {
--- a/src/main/java/larchridge/node/link/Pool.java
+++ b/src/main/java/larchridge/node/link/Pool.java
@@ -16,8 +16,8 @@
     private final PassageLink link;
     private final ArrayDeque<Wire> idle = new ArrayDeque<>();
     private final Set<Wire> all = new HashSet<>();
-    /** Legs that are out there. */
-    int legs;
+    /** Attempts that are out there. */
+    int attempts;
     /** When anything was heard from there last. */
     double heardMs = Double.NEGATIVE_INFINITY;
 
--- a/src/main/java/larchridge/node/link/Verdict.java
+++ b/src/main/java/larchridge/node/link/Verdict.java
@@ -3,8 +3,8 @@
 import larchridge.state.Outcome;
 
 /**
- * What became of a leg, judged from what was seen of it; without I/O, clock or threads. Rule 2 rests on this: an outcome
- * that proves a leg never ran is only given where the engine can't have started it or says so itself.
+ * What became of an attempt, judged from what was seen of it; without I/O, clock or threads. Rule 2 rests on this: an outcome
+ * that proves an attempt never ran is only given where the engine can't have started it or says so itself.
  */
 final class Verdict {
     private boolean written;
--- a/src/main/java/larchridge/site/SiteReader.java
+++ b/src/main/java/larchridge/site/SiteReader.java
@@ -359,7 +359,7 @@
         At at = root.one("engines", false);
         site.terms.fronts = (int) root.number("fronts_of_service", site.fronts, site.fronts, 1e6);
         site.terms.zone = root.text("zone", "");
-        site.terms.maxLegs = (int) at.number("legs", 5, 2, 100);
+        site.terms.maxAttempts = (int) at.number("attempts", 5, 2, 100);
         site.terms.mayCancel = true;
         site.terms.mayProbe = form.getEngines().getMayProbe();
         site.terms.maySendCopies = form.getEngines().getSecondCopies();
--- a/src/main/java/larchridge/standin/Make.java
+++ b/src/main/java/larchridge/standin/Make.java
@@ -8,7 +8,7 @@
  * @param readToksPerMs prompt tokens read a millisecond when warm
  * @param readsAtOnce   prompts read side by side
  * @param streams       answers written side by side
- * @param queue         legs that may wait
+ * @param queue         attempts that may wait
  * @param tokMs         time between two tokens of a stream
  * @param moveToksPerMs how fast a state moves within the rack; slower across racks and zones
  * @param lapseMs       when a state that nobody fetches is dropped
--- a/src/main/java/larchridge/standin/Mood.java
+++ b/src/main/java/larchridge/standin/Mood.java
@@ -9,9 +9,9 @@
     public int stallsAbove = Integer.MAX_VALUE;
     /** Of answers, done but never sent; probes are answered. */
     public double lostShare;
-    /** Every leg is turned away as full. */
+    /** Every attempt is turned away as full. */
     public boolean full;
-    /** Every leg is answered with an error. */
+    /** Every attempt is answered with an error. */
     public boolean faulty;
     /** Of streams, broken off after some tokens. */
     public double brokenShare;
--- a/src/main/java/larchridge/standin/StandIn.java
+++ b/src/main/java/larchridge/standin/StandIn.java
@@ -82,7 +82,7 @@
 
     private record State(String rid, String tag, double toks, double sinceMs) { }
 
-    /** A leg that is here. */
+    /** An attempt that is here. */
     private final class Job {
         final String rid;
         final String tag;
@@ -197,7 +197,7 @@
 
     private void handle(HttpServerRequest request) {
         switch (request.path()) {
-            case "/v1/completions" -> request.body().onSuccess(body -> leg(request, body));
+            case "/v1/completions" -> request.body().onSuccess(body -> attempt(request, body));
             case "/abort_request" -> request.body().onSuccess(body -> abort(request, body));
             case "/kv/pull" -> request.body().onSuccess(body -> pull(request, body));
             case "/metrics" -> whenAwake(request.response(), () -> request.response().end(laggingPage()));
@@ -214,7 +214,7 @@
         }
     }
 
-    private void leg(HttpServerRequest request, Buffer body) {
+    private void attempt(HttpServerRequest request, Buffer body) {
         HttpServerResponse response = request.response();
         JsonNode json;
         try {
--- a/src/main/java/larchridge/standin/Witness.java
+++ b/src/main/java/larchridge/standin/Witness.java
@@ -8,7 +8,7 @@
     /**
      * One sight.
      *
-     * @param rid    the leg's name as it came, or null
+     * @param rid    the attempt's name as it came, or null
      * @param tag    the mark that the client put into its prompt, or null
      * @param amount prompt tokens, where they matter
      */
--- a/src/main/java/larchridge/state/Leg.java
+++ b/src/main/java/larchridge/state/Attempt.java
@@ -1,17 +1,17 @@
 package larchridge.state;
 
 /** One send of a generation to one engine. */
-public final class Leg {
+public final class Attempt {
     public final Gen gen;
     public final Engine engine;
     public final int number;
     public final boolean read;
     public final double sentMs;
-    /** What this leg was counted at on its engine: prompt tokens to read, or tokens to hold. */
+    /** What this attempt was counted at on its engine: prompt tokens to read, or tokens to hold. */
     public final double toks;
     /** Prompt tokens that are still to be read there for it. */
     public double unreadToks;
-    /** The start of the engine's process this leg went to. */
+    /** The start of the engine's process this attempt went to. */
     public final double engineStartMs;
     /** For how long its engine may be silent over it. */
     public double patienceMs;
@@ -21,10 +21,10 @@
     public boolean toldLate;
     public Outcome outcome;
 
-    public Leg(Gen gen, Engine engine, boolean read, double sentMs, double toks, double unreadToks) {
+    public Attempt(Gen gen, Engine engine, boolean read, double sentMs, double toks, double unreadToks) {
         this.gen = gen;
         this.engine = engine;
-        this.number = gen.legs.size();
+        this.number = gen.attempts.size();
         this.read = read;
         this.sentMs = sentMs;
         this.toks = toks;
@@ -42,11 +42,11 @@
         return engine.mode == Mode.GONE || engine.startMs != engineStartMs;
     }
 
-    /** Counts this leg at its generation and engine. */
+    /** Counts this attempt at its generation and engine. */
     public void open() {
-        gen.legs.add(this);
-        gen.legsOut++;
-        engine.legs.add(this);
+        gen.attempts.add(this);
+        gen.attemptsOut++;
+        engine.attempts.add(this);
         engine.unreadToks += unreadToks;
         if (!read) {
             engine.writeToks += toks;
@@ -60,17 +60,17 @@
         unreadToks = 0;
     }
 
-    /** Takes this leg off the counts; false if that was done before. */
+    /** Takes this attempt off the counts; false if that was done before. */
     public boolean close() {
         if (!out) {
             return false;
         }
         out = false;
-        gen.legsOut--;
+        gen.attemptsOut--;
         markRead();
-        engine.legs.remove(this);
+        engine.attempts.remove(this);
         if (!read) {
-            engine.writeToks = engine.legs.isEmpty() ? 0 : Math.max(0, engine.writeToks - toks);
+            engine.writeToks = engine.attempts.isEmpty() ? 0 : Math.max(0, engine.writeToks - toks);
             engine.streams = Math.max(0, engine.streams - 1);
         }
         return true;
--- a/src/main/java/larchridge/state/Engine.java
+++ b/src/main/java/larchridge/state/Engine.java
@@ -14,8 +14,8 @@
     public double memoryToks;
     public double startMs;
 
-    /** This front's legs out there, in the order sent. */
-    public final List<Leg> legs = new ArrayList<>();
+    /** This front's attempts out there, in the order sent. */
+    public final List<Attempt> attempts = new ArrayList<>();
     /** Prompt tokens sent there and not yet read. */
     public double unreadToks;
     /** Tokens of the answers sent there, with their number. */
@@ -61,11 +61,11 @@
         this.label = label;
     }
 
-    /** When the oldest leg with an unread prompt was sent there; NaN if there is none. */
+    /** When the oldest attempt with an unread prompt was sent there; NaN if there is none. */
     public double unreadSinceMs() {
-        for (Leg leg : legs) {
-            if (leg.unreadToks > 0) {
-                return leg.sentMs;
+        for (Attempt attempt : attempts) {
+            if (attempt.unreadToks > 0) {
+                return attempt.sentMs;
             }
         }
         return Double.NaN;
--- a/src/main/java/larchridge/state/Fleet.java
+++ b/src/main/java/larchridge/state/Fleet.java
@@ -32,7 +32,7 @@
             }
             engine.take(entry);
         }
-        engines.removeIf(engine -> engine.mode == Mode.GONE && engine.legs.isEmpty());
+        engines.removeIf(engine -> engine.mode == Mode.GONE && engine.attempts.isEmpty());
         engines.sort(Comparator.comparingLong(engine -> engine.label));
         lists++;
         readers.clear();
--- a/src/main/java/larchridge/state/Gen.java
+++ b/src/main/java/larchridge/state/Gen.java
@@ -19,12 +19,12 @@
     public final double arrivedMs;
     public final double limitMs;
 
-    public final List<Leg> legs = new ArrayList<>(3);
-    public int legsOut;
+    public final List<Attempt> attempts = new ArrayList<>(3);
+    public int attemptsOut;
     public boolean over;
     public boolean begun;
-    /** The leg whose read state waits to be fetched, or null. */
-    public Leg state;
+    /** The attempt whose read state waits to be fetched, or null. */
+    public Attempt state;
     /** Whether a state may be held for it anywhere. */
     public boolean held;
     public boolean waiting;
@@ -60,8 +60,8 @@
         return arrivedMs + product.sloMs + product.sloMsPerTok * promptToks;
     }
 
-    /** Whether a leg at a writer is out and not called off. */
+    /** Whether an attempt at a writer is out and not called off. */
     public boolean isAtWriter() {
-        return legs.stream().anyMatch(leg -> leg.out && !leg.read && !leg.cancelled);
+        return attempts.stream().anyMatch(attempt -> attempt.out && !attempt.read && !attempt.cancelled);
     }
 }
--- a/src/main/java/larchridge/state/Terms.java
+++ b/src/main/java/larchridge/state/Terms.java
@@ -5,7 +5,7 @@
     public long seed;
     public int fronts;
     public String zone;
-    public int maxLegs;
+    public int maxAttempts;
     public boolean mayCancel;
     public boolean mayProbe;
     public boolean maySendCopies;
@@ -26,7 +26,7 @@
         copy.seed = seed;
         copy.fronts = fronts;
         copy.zone = zone;
-        copy.maxLegs = maxLegs;
+        copy.maxAttempts = maxAttempts;
         copy.mayCancel = mayCancel;
         copy.mayProbe = mayProbe;
         copy.maySendCopies = maySendCopies;
--- a/src/main/java/larchridge/terms/Given.java
+++ b/src/main/java/larchridge/terms/Given.java
@@ -54,7 +54,7 @@
         given.readProducts(env.path("request_classes"), family);
         given.readAccounts(env.path("accounts"));
         given.readKinds(env.path("host_types"), family);
-        terms.maxLegs = (int) number(limits, "max_attempts", Integer.MAX_VALUE);
+        terms.maxAttempts = (int) number(limits, "max_attempts", Integer.MAX_VALUE);
         terms.mayCancel = flag(limits, "may_cancel");
         terms.mayProbe = flag(limits, "may_probe");
         terms.maySendCopies = flag(limits, "parallel_tries");
--- a/src/main/java/larchridge/virtual/Town.java
+++ b/src/main/java/larchridge/virtual/Town.java
@@ -245,7 +245,7 @@
             }
         }
 
-        /** A leg ends here with something else than what it came for. */
+        /** An attempt ends here with something else than what it came for. */
         private void leave(Visit visit, Outcome outcome) {
             if (visits.remove(visit)) {
                 if (!states.containsKey(visit.job.rid)) {
@@ -269,7 +269,7 @@
             }
         }
 
-        /** A leg ends with its answer. One whose answer is lost stays open until its front gives it up. */
+        /** An attempt ends with its answer. One whose answer is lost stays open until its front gives it up. */
         private void answered(Visit visit) {
             visits.remove(visit);
             log.add(Seen.Kind.LEG_OUT, make.id(), visit.order.rid(), visit.talk.tag, visit.job.made(), null);
@@ -432,7 +432,7 @@
         return seat.make.zone().equals(zone) ? NEAR_MS : FAR_MS;
     }
 
-    /** A leg on its way, at its engine, and on its way back. */
+    /** An attempt on its way, at its engine, and on its way back. */
     private final class Visit implements EngineLink.Flight {
         final Order order;
         final Talk talk;
--- a/src/test/java/larchridge/ChoiceTest.java
+++ b/src/test/java/larchridge/ChoiceTest.java
@@ -6,10 +6,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import larchridge.state.Attempt;
 import larchridge.state.Effect;
 import larchridge.state.Engine;
 import larchridge.state.Gen;
-import larchridge.state.Leg;
 import larchridge.state.Listing;
 import larchridge.state.Mode;
 import larchridge.state.Outcome;
@@ -66,7 +66,7 @@
         stage.fleet(1, 2);
         choice.arrived(stage.gen("a", Stage.product(Effect.SIDE_EFFECTING, Span.ALL), null, 1000));
         choice.readDone(stage.last(), 0, null, false);
-        Leg write = stage.last();
+        Attempt write = stage.last();
         choice.ended(write, Outcome.CUT, null, false);
         assertSame(write, stage.last());
         assertTrue(stage.heardOf("terminate a"));
@@ -79,30 +79,30 @@
         choice.listed(List.of(stage.listing(fleet[0], Role.READER, Mode.DRAINING, 0)), false);
         choice.arrived(stage.gen("a"));
         choice.arrived(stage.gen("b"));
-        assertTrue(stage.sent.stream().allMatch(leg -> leg.engine == fleet[1]));
+        assertTrue(stage.sent.stream().allMatch(attempt -> attempt.engine == fleet[1]));
         assertEquals(2, stage.sent.size());
     }
 
     @Test
     void manyFrontsTogetherKeepToTheBudgetOfAColdEngine() {
         stage.terms.fronts = 150;
-        int legs = 0;
+        int attempts = 0;
         for (int front = 0; front < 150; front++) {
             stage.terms.seed = front;
             stage.start();
             Engine[] fleet = stage.fleet(3, 1);
             for (int i = 0; i < 30; i++) {
                 stage.now += 1000;
-                stage.choice.readDone(new Leg(stage.gen("w"), fleet[i % 2], true, stage.now, 9, 9), 0, null, true);
+                stage.choice.readDone(new Attempt(stage.gen("w"), fleet[i % 2], true, stage.now, 9, 9), 0, null, true);
             }
             stage.choice.listed(List.of(stage.listing(fleet[2], Role.READER, Mode.READY, stage.now - 500)), false);
             for (int i = 0; i < 4; i++) {
                 stage.now += 1000;
                 stage.choice.arrived(stage.gen("g" + i));
             }
-            legs += fleet[2].legs.size();
+            attempts += fleet[2].attempts.size();
         }
-        assertTrue(legs > 20 && legs < 113, legs + " legs of 600");
+        assertTrue(attempts > 20 && attempts < 113, attempts + " attempts of 600");
     }
 
     @Test
@@ -121,7 +121,7 @@
         Engine[] fleet = stage.fleet(2, 1);
         Gen gen = stage.gen("a");
         choice.arrived(gen);
-        Leg read = stage.last();
+        Attempt read = stage.last();
         choice.listed(List.of(stage.listing(read.engine, Role.READER, Mode.GONE, 0)), false);
         choice.readDone(read, 0, null, false);
         assertTrue(stage.heardOf("release a"));
@@ -146,14 +146,14 @@
         stage.now += 1000;
         choice.woken();
         assertTrue(stage.heardOf("throttle a"));
-        assertEquals(1, fleet[0].legs.size());
+        assertEquals(1, fleet[0].attempts.size());
     }
 
     @Test
     void revenueGoesFirstWhenReadersAreShort() {
         stage.fleet(1, 1);
         choice.arrived(stage.gen("big", Stage.product(Effect.IDEMPOTENT, Span.ALL), null, 11_000));
-        Leg big = stage.last();
+        Attempt big = stage.last();
         choice.arrived(stage.gen("cheap"));
         Product dear = new Product("d", Effect.IDEMPOTENT, Span.ALL, 5000, 3, 0.1, 1000, 0.04, 60);
         choice.arrived(stage.gen("dear", dear, null, 8_000));
@@ -205,7 +205,7 @@
         Engine[] fleet = stage.fleet(2, 1);
         Text session = new Text("s");
         session.sentTo(fleet[0], 9_000, stage.now);
-        new Leg(stage.gen("x"), fleet[0], true, stage.now, 4_000, 4_000).open();
+        new Attempt(stage.gen("x"), fleet[0], true, stage.now, 4_000, 4_000).open();
         choice.arrived(stage.gen("a", Stage.product(Effect.IDEMPOTENT, Span.ALL), session, 9_500));
         assertSame(fleet[0], stage.last().engine);
     }
@@ -220,11 +220,11 @@
             stage.choice.arrived(new Gen("g", Stage.product(Effect.IDEMPOTENT, Span.ALL), null, new Text("s"),
                     prefix, 3000, 2000, 200, Double.NaN, false, stage.now, stage.now + 5000));
         }
-        assertEquals(1, stage.sent.stream().map(leg -> leg.engine.label).distinct().count());
+        assertEquals(1, stage.sent.stream().map(attempt -> attempt.engine.label).distinct().count());
     }
 
     @Test
-    void stateOfALostAnswerIsReleasedAfterTheLastLeg() {
+    void stateOfALostAnswerIsReleasedAfterTheLastAttempt() {
         stage.fleet(1, 1);
         Gen gen = stage.gen("a");
         choice.arrived(gen);
@@ -235,11 +235,11 @@
     }
 
     @Test
-    void stateThatComesDuringAnInPlaceLegIsUsedWhenThatFails() {
+    void stateThatComesDuringAnInPlaceAttemptIsUsedWhenThatFails() {
         Engine[] fleet = stage.fleet(1, 2);
         choice.arrived(stage.gen("a"));
-        Leg read = stage.last();
-        Leg inPlace = new Leg(read.gen, fleet[1], false, stage.now, 1100, 1000);
+        Attempt read = stage.last();
+        Attempt inPlace = new Attempt(read.gen, fleet[1], false, stage.now, 1100, 1000);
         inPlace.open();
         choice.readDone(read, 0, null, false);
         assertFalse(stage.heardOf("release"));
@@ -306,7 +306,7 @@
     void readAtASilentEngineGetsASecondBesideIt() {
         Engine[] fleet = stage.fleet(2, 1);
         choice.arrived(stage.gen("a"));
-        Leg silent = stage.last();
+        Attempt silent = stage.last();
         silent.engine.heardMs = stage.now + 100;
         stage.now += 400;
         choice.woken();
@@ -322,7 +322,7 @@
         Engine[] fleet = stage.fleet(1, 2);
         choice.arrived(stage.gen("a", Stage.product(Effect.DEDUPLICATED, Span.RACK), null, 1000));
         choice.readDone(stage.last(), 0, null, false);
-        Leg write = stage.last();
+        Attempt write = stage.last();
         (write.engine == fleet[1] ? fleet[2] : fleet[1]).rack = 7;
         write.engine.rack = 3;
         while (stage.last().out) {
@@ -359,7 +359,7 @@
         Engine[] fleet = stage.fleet(1, 2);
         choice.arrived(stage.gen("a"));
         choice.readDone(stage.last(), 0, null, false);
-        Leg write = stage.last();
+        Attempt write = stage.last();
         fleet[1].othersToks = 200_000;
         fleet[2].othersToks = 200_000;
         fleet[1].reportMs = stage.now + 1500;
@@ -388,9 +388,9 @@
         stage.fleet(1, 1);
         for (int i = 0; i < 200; i++) {
             choice.arrived(stage.gen("slow" + i));
-            Leg read = stage.last();
+            Attempt read = stage.last();
             choice.readDone(read, 0, null, false);
-            Leg write = stage.last();
+            Attempt write = stage.last();
             stage.now += 3000;
             choice.begun(write);
             choice.ended(write, Outcome.STREAMED, null, true);
@@ -433,7 +433,7 @@
         choice.arrived(stage.gen("last"));
         assertEquals(before + 1, stage.sent.size());
         assertEquals(fleet[1], stage.last().engine);
-        assertTrue(stage.sent.stream().filter(leg -> leg.engine == fleet[0]).count() <= 2);
+        assertTrue(stage.sent.stream().filter(attempt -> attempt.engine == fleet[0]).count() <= 2);
     }
 
     @Test
@@ -449,7 +449,7 @@
         // The near one holds more than Z, so that answers go out of the rack.
         for (int i = 0; i < 4; i++) {
             Gen gen = stage.gen("near" + i);
-            new Leg(gen, near, false, stage.now, 2000, 0).open();
+            new Attempt(gen, near, false, stage.now, 2000, 0).open();
         }
         choice.arrived(stage.gen("first"));
         choice.readDone(stage.last(), 0, null, false);
--- a/src/test/java/larchridge/Stage.java
+++ b/src/test/java/larchridge/Stage.java
@@ -2,10 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import larchridge.state.Attempt;
 import larchridge.state.Effect;
 import larchridge.state.Engine;
 import larchridge.state.Gen;
-import larchridge.state.Leg;
 import larchridge.state.Listing;
 import larchridge.state.Mode;
 import larchridge.state.Product;
@@ -17,7 +17,7 @@
 /** A host that writes down what it is asked for, and short ways to build state. */
 final class Stage implements Host {
     final List<String> said = new ArrayList<>();
-    final List<Leg> sent = new ArrayList<>();
+    final List<Attempt> sent = new ArrayList<>();
     final Terms terms = new Terms();
     double now = 100_000;
     Choice choice;
@@ -25,7 +25,7 @@
     Stage() {
         terms.fronts = 2;
         terms.zone = "z";
-        terms.maxLegs = 5;
+        terms.maxAttempts = 5;
         terms.mayCancel = true;
         terms.mayProbe = true;
         terms.maySendCopies = true;
@@ -69,7 +69,7 @@
                 now + 5000);
     }
 
-    Leg last() {
+    Attempt last() {
         return sent.get(sent.size() - 1);
     }
 
@@ -83,14 +83,14 @@
     }
 
     @Override
-    public void send(Leg leg) {
-        sent.add(leg);
-        said.add("send " + leg.gen.label + " " + leg.engine.label);
+    public void send(Attempt attempt) {
+        sent.add(attempt);
+        said.add("send " + attempt.gen.label + " " + attempt.engine.label);
     }
 
     @Override
-    public void cancel(Leg leg) {
-        said.add("cancel " + leg.gen.label + " " + leg.number);
+    public void cancel(Attempt attempt) {
+        said.add("cancel " + attempt.gen.label + " " + attempt.number);
     }
 
     @Override
--- a/src/test/java/larchridge/drill/RulesTest.java
+++ b/src/test/java/larchridge/drill/RulesTest.java
@@ -117,7 +117,7 @@
     }
 
     @Test
-    void legAfterTheGraceOfADrainIsCaught() {
+    void attemptAfterTheGraceOfADrainIsCaught() {
         seen(0, Seen.Kind.LISTED, 2, null, 0, "draining");
         log.add(new Seen(249, Seen.Kind.WRITE_IN, 2, "r1", null, 1, null));
         assertEquals("", broken());
@@ -133,7 +133,7 @@
         for (int i = 0; i < 20; i++) {
             log.add(new Seen(10 + i, Seen.Kind.READ_IN, 1, "r" + i, null, 3000, null));
         }
-        // 2.5 x 0.3 x 60 tokens a millisecond x 1000 ms / 3000 tokens: 15 legs, and two for chance.
+        // 2.5 x 0.3 x 60 tokens a millisecond x 1000 ms / 3000 tokens: 15 attempts, and two for chance.
         assertEquals("4", broken());
         log.removeIf(s -> s.ms() > 20);
         assertEquals("", broken());
@@ -157,7 +157,7 @@
     }
 
     @Test
-    void stateIsNotPinnedWhileALegIsOut() {
+    void stateIsNotPinnedWhileAnAttemptIsOut() {
         asked("free");
         last(100, "streamed");
         seen(10, Seen.Kind.READ_IN, 1, "r0", 1, null);
--- a/src/test/java/larchridge/emulator/EmulatorTest.java
+++ b/src/test/java/larchridge/emulator/EmulatorTest.java
@@ -178,7 +178,7 @@
         assertEquals(List.of("slow", "fast"), come);
     }
 
-    /** Any row of legs, some called off in between: memory comes back whole, and every answer that was not called off is. */
+    /** Any row of attempts, some called off in between: memory comes back whole, and every answer that was not called off is. */
     @Property(tries = 60, seed = "20261201")
     void memoryComesBackWhole(@ForAll @Size(max = 40) List<@IntRange(min = 0, max = 5000) Integer> lengths, @ForAll long seed) {
         Random random = new Random(seed);
--- a/src/test/java/larchridge/ledger/LedgerTest.java
+++ b/src/test/java/larchridge/ledger/LedgerTest.java
@@ -159,7 +159,7 @@
         }
     }
 
-    /** What a second leg did after the answer was recorded is waste of the same bill. */
+    /** What a second attempt did after the answer was recorded is waste of the same bill. */
     @Test
     void lateWasteIsAddedToItsBill() throws Exception {
         try (Ledger ledger = Ledger.open(folder.resolve("ledger"), 100)) {
--- a/src/test/java/larchridge/node/NodeTest.java
+++ b/src/test/java/larchridge/node/NodeTest.java
@@ -115,7 +115,7 @@
     }
 
     @Test
-    void noiseBeforeTheFirstEventIsAFailedLegAndTheClientIsServedByAnother() throws Exception {
+    void noiseBeforeTheFirstEventIsAFailedAttemptAndTheClientIsServedByAnother() throws Exception {
         AtomicInteger calls = new AtomicInteger();
         for (String noise : new String[] {"\u0001\u0002xx\r\n\r\n", "HTTP/1.1 200 OK\r\nX: " + "y".repeat(20_000),
             Scene.GOOD + "zz\r\n", Scene.GOOD + "c0000000\r\n" + "x".repeat(100_000), Scene.GOOD + Scene.chunk("noise\n\n")}) {
@@ -461,7 +461,7 @@
     }
 
     @Test
-    void moduleAndLinkCountTheSameLegsThroughFaultsAndLeavingsAndReturnToZero() throws Exception {
+    void moduleAndLinkCountTheSameAttemptsThroughFaultsAndLeavingsAndReturnToZero() throws Exception {
         AtomicInteger calls = new AtomicInteger();
         String good = Scene.GOOD + Scene.chunk(Scene.EVENT + Scene.END) + "0\r\n\r\n";
         Reply[] replies = {new Reply(good, true), new Reply("noise\r\n\r\n", true), new Reply("", false),
@@ -473,9 +473,9 @@
         for (int i = 0; i < 40; i++) {
             Scene.RawClient client = scene.client();
             client.send(Scene.ask(Scene.id(), 600, ""));
-            int legs = scene.node.legsOut();
-            assertNotEquals(-1, legs, "at request " + i);
-            most = Math.max(most, legs);
+            int attempts = scene.node.attemptsOut();
+            assertNotEquals(-1, attempts, "at request " + i);
+            most = Math.max(most, attempts);
             if (i % 5 == 0) {
                 client.close();
             } else if (i % 2 == 0) {
@@ -483,7 +483,7 @@
             } else {
                 unanswered.add(client);
             }
-            assertNotEquals(-1, scene.node.legsOut(), "after request " + i);
+            assertNotEquals(-1, scene.node.attemptsOut(), "after request " + i);
         }
         assertTrue(most > 0);
         // A request that is unread yet, or waits before its read, is none of the link's: each has to be answered first.
@@ -491,9 +491,9 @@
             assertNotNull(client.until("\r\n\r\n"));
         }
         while (scene.node.openTales() > 0) {
-            assertNotEquals(-1, scene.node.legsOut());
+            assertNotEquals(-1, scene.node.attemptsOut());
         }
-        assertEquals(0, scene.node.legsOut());
+        assertEquals(0, scene.node.attemptsOut());
     }
 
     @Test
--- a/src/test/java/larchridge/serve/CountingTest.java
+++ b/src/test/java/larchridge/serve/CountingTest.java
@@ -49,7 +49,7 @@
     }
 
     @Test
-    void promptOverTheWindowIsTurnedAwayBeforeAnyLeg() throws Exception {
+    void promptOverTheWindowIsTurnedAwayBeforeAnyAttempt() throws Exception {
         try (Town town = new Town(SITE)) {
             String long900 = new JsonObject(body("caudal ".repeat(900))).put("max_tokens", 200).toString();
             Town.Answer answer = town.ask(town.options(), long900);
@@ -83,7 +83,7 @@
 
     /** Danger: the time in which a body is read and counted is the client's time too. */
     @Test
-    void clientWhoseTimeRanOutWhileItsBodyWasCountedGetsNoLeg() throws Exception {
+    void clientWhoseTimeRanOutWhileItsBodyWasCountedGetsNoAttempt() throws Exception {
         String large = "El caudal del Nalón sube. ".repeat(300_000);
         try (Town town = new Town(SITE.replace("window_tokens: 1000 ", "").replace("count_waits: 4", "count_waits: 40"))) {
             HttpClient many = town.http2();
--- a/src/test/java/larchridge/serve/ServiceTest.java
+++ b/src/test/java/larchridge/serve/ServiceTest.java
@@ -141,7 +141,7 @@
                         got.complete(response);
                     });
             HttpClientResponse response = town.of(got);
-            // The writer's leg ends because the client is cut, not because all 900,000 tokens were taken.
+            // The writer's attempt ends because the client is cut, not because all 900,000 tokens were taken.
             Town.await(() -> town.saw("LEG_OUT 2"));
             response.resume();
             town.of(cut);
