--- a/src/main/java/larchridge/front/Front.java
+++ b/src/main/java/larchridge/front/Front.java
@@ -557,6 +557,7 @@
         private void traced(String what) {
             LOG.atDebug().addKeyValue("generation", one.gen.label).addKeyValue("attempt", trip.attempt.number)
                     .addKeyValue("engine", trip.attempt.engine.label).addKeyValue("toks", one.gen.promptToks)
+                    .addKeyValue("kept", trip.keptToks)
                     .addKeyValue("sent", Math.round(trip.attempt.sentMs - one.gen.arrivedMs))
                     .addKeyValue("ms", Math.round(nowMs - one.gen.arrivedMs)).log(what);
         }
