Reuse: a prefix's home that reads for itself counts as a short reader

Cause: under queues the engines that read for themselves came after every short reader (place 2 and 3 in pickReader), a cold one too, so a reader that had to read all anew went before a home of the prefix that reads fast, keeps the text and spares the move.

Change: where the hash names it for the prefix, such an engine competes by tokens with the short readers of its zone; its own limits (short backlog, streams, memory) stand.

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -327,8 +327,8 @@
             return last;
         }
         // Departure: only homes read, while any is fit. Danger: text read anew elsewhere doubles the work and
-        // drives other texts out, until every read is long. Where no reader is short, an engine that reads
-        // for itself takes prompt and answer.
+        // drives other texts out, until every read is long. An engine that reads for itself takes prompt and
+        // answer: a home as a short reader does, another where no reader is short.
         some = some.isEmpty() ? fit : some;
         boolean late = some.stream().anyMatch(e -> movesLate(e, now));
         double most = late ? SELF_READ_LATE_STREAMS : freeShare();
@@ -349,8 +349,9 @@
         for (Engine engine : some) {
             double backlog = backlogMs(engine, now);
             boolean near = engine.zone.equals(zone);
-            int place = engine.role != Role.READER ? late ? 1 : near ? 2 : 3
-                    : backlog > ALPHA_MS || movesLate(engine, now) ? 2 : near ? 0 : 1;
+            boolean self = engine.role != Role.READER;
+            int place = self && !homes(gen).contains(engine) ? late ? 1 : near ? 2 : 3
+                    : !self && (backlog > ALPHA_MS || movesLate(engine, now)) ? 2 : near ? 0 : 1;
             double unread = readToks(gen, engine);
             double toks = unreadToks(engine, now) + unread;
             double dueMs = now + backlog + unread * msPerTok(engine, now) + beginMs;
--- a/src/test/java/larchridge/ChoiceTest.java
+++ b/src/test/java/larchridge/ChoiceTest.java
@@ -295,6 +295,18 @@
         }
     }
 
+    @Test
+    void homeThatReadsForItselfComesBeforeAColdReader() {
+        Engine[] fleet = stage.fleet(2, 2);
+        fleet[2].role = Role.BOTH;
+        fleet[3].streams = 20;
+        Text prefix = new Text("p");
+        Engine first = prefix.affinity(fleet[0]) > prefix.affinity(fleet[1]) ? fleet[0] : fleet[1];
+        first.unreadToks = 3_100;
+        choice.arrived(begins(prefix, 6_000, 5_000));
+        assertSame(fleet[2], stage.last().engine);
+    }
+
     @Test
     void enginesReadForThemselvesAsFarAsTheMemoryOfWritersIsFree() {
         Engine[] fleet = stage.fleet(1, 2);
