--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -37,8 +37,9 @@
     private static final double FULL_WITH_REPORTS_MS = 300;
     private static final double NEAR_STREAMS_FACTOR = 1.3;
     private static final double NEAR_STREAMS_MORE = 2;
-    // Places of one prefix among the engines of one role in a zone.
+    // Places of one prefix in a zone; the part of the mean streams under which an engine reads for itself.
     private static final int HOMES = 2;
+    private static final double SELF_READ_STREAMS = 0.6;
     // Moves of a reader's states out of its rack that begin later than this are late; what stands in then.
     private static final double MOVE_LATE_MS = 400;
     private static final double NEAR_TOKS_FACTOR = 2.5;
@@ -104,12 +105,11 @@
     private double askAtMs = Double.POSITIVE_INFINITY;
     private double beginMs = BEGIN_FIRST_MS;
     private double triedMs;
-    /** The best speed of late reads in tokens a millisecond; what a read had to read, what homes had kept. */
+    /** The best speed of late reads in tokens a millisecond, what a read had to read, what homes had kept. */
     private final Ring speeds = new Ring(20, 1000);
     private final Mean unreadParts = new Mean(20, 1000);
     private final Mean unreadSizes = new Mean(20, 1000);
-    private final Mean firstKept = new Mean(20, 1000);
-    private final Mean furtherKept = new Mean(20, 1000);
+    private final Mean homesKept = new Mean(20, 1000);
     /** What engines told of late beside this front's own: readers' tokens, writers' tokens and streams. */
     private final Mean toldUnread = new Mean(5, 1000);
     private final Mean toldToks = new Mean(5, 1000);
@@ -159,9 +159,8 @@
         speeds.raise(now, speed);
         unreadParts.add(now, unread, gen.promptToks);
         unreadSizes.add(now, unread, 1);
-        int place = homes(gen).indexOf(attempt.engine);
-        if (place >= 0) {
-            (place == 0 ? firstKept : furtherKept).add(now, keptToks, gen.promptToks);
+        if (homes(gen).indexOf(attempt.engine) == 0) {
+            homesKept.add(now, keptToks, gen.promptToks);
         }
         warmReads.add(now, isCold(attempt.engine, now) ? 0 : 1);
         close(attempt);
@@ -327,16 +326,16 @@
             return last;
         }
         // Departure: only homes read, while any is fit. Danger: text read anew elsewhere doubles the work and
-        // drives other texts out, until every read is long. An engine that reads for itself takes prompt and
-        // answer: a home as a short reader does, another where no reader is short.
+        // drives other texts out, until every read is long. Where no reader is short, an engine that reads
+        // for itself takes prompt and answer.
         some = some.isEmpty() ? fit : some;
         boolean late = some.stream().anyMatch(e -> movesLate(e, now));
-        double most = late ? SELF_READ_LATE_STREAMS : freeShare();
         double mean = writers.stream().mapToDouble(e -> streams(e) / e.units).average().orElse(0);
         for (Engine engine : fit(writers, gen)) {
-            if (maySelfRead(engine) && hasRoom(engine, gen)
+            if ((engine.role == Role.BOTH || writersRead) && hasRoom(engine, gen)
                     && backlogMs(engine, now) <= ALPHA_MS
-                    && streams(engine) <= most * mean * engine.units) {
+                    && streams(engine) <= (late ? SELF_READ_LATE_STREAMS : SELF_READ_STREAMS) * mean
+                    * engine.units) {
                 some.add(engine);
             }
         }
@@ -349,9 +348,8 @@
         for (Engine engine : some) {
             double backlog = backlogMs(engine, now);
             boolean near = engine.zone.equals(zone);
-            boolean self = engine.role != Role.READER;
-            int place = self && !homes(gen).contains(engine) ? late ? 1 : near ? 2 : 3
-                    : !self && (backlog > ALPHA_MS || movesLate(engine, now)) ? 2 : near ? 0 : 1;
+            int place = engine.role != Role.READER ? late ? 1 : near ? 2 : 3
+                    : backlog > ALPHA_MS || movesLate(engine, now) ? 2 : near ? 0 : 1;
             double unread = readToks(gen, engine);
             double toks = unreadToks(engine, now) + unread;
             double dueMs = now + backlog + unread * msPerTok(engine, now) + beginMs;
@@ -738,23 +736,17 @@
     private double readToks(Gen gen, Engine reader) {
         int kept = Math.max(gen.prefix == null ? 0 : Math.min(gen.prefix.toksAt(reader), gen.sharedToks),
                 gen.session == null ? 0 : Math.min(gen.session.toksAt(reader), gen.promptToks));
-        int place = homes(gen).indexOf(reader);
-        if (place >= 0) {
-            // Danger: a further home is named for many texts and was sent few of them; a read that goes there
-            // as to a warm one makes all reads longer just when they queue.
-            boolean first = place == 0 || reader.role != Role.READER && reader.zone.equals(zone)
-                    && homes(gen).get(place - 1).role != reader.role;
-            Mean told = first ? firstKept : furtherKept;
-            boolean unheard = first && !(told.weight(host.now()) > 0);
-            kept = Math.max(kept, unheard ? gen.sharedToks : (int) (told.at(host.now()) * gen.promptToks));
+        List<Engine> homes = homes(gen);
+        if (homes.contains(reader)) {
+            kept = Math.max(kept, reader == homes.get(0)
+                    ? (int) (homesKept.at(host.now()) * gen.promptToks) : gen.sharedToks);
         }
         return Math.max(gen.promptToks - kept, LEAST_READ_TOKS);
     }
 
     /**
-     * The engines that the hashes of prefix and session name, alike at all fronts, so that others will have
-     * sent the texts there: a prefix has a few homes in each zone, a session prefers one of them. Readers
-     * come first in each zone, then the engines that may read for themselves.
+     * The readers that the hashes of prefix and session name, alike at all fronts, so that others will have
+     * sent the texts there: a prefix has a few homes in each zone, a session prefers one of them.
      */
     private List<Engine> homes(Gen gen) {
         Text first = gen.prefix != null ? gen.prefix : gen.session;
@@ -762,17 +754,14 @@
             gen.homesOfList = fleet.lists;
             gen.homes.clear();
             List<Engine> order = new ArrayList<>(readers);
-            writers.stream().filter(this::maySelfRead).forEach(order::add);
             order.sort(Comparator.comparingLong(first::affinity).reversed());
             for (Engine reader : order) {
-                if (gen.homes.stream().filter(e -> e.zone.equals(reader.zone) && e.role == reader.role)
-                        .count() < HOMES) {
+                if (gen.homes.stream().filter(e -> e.zone.equals(reader.zone)).count() < HOMES) {
                     gen.homes.add(reader);
                 }
             }
             Text text = gen.session != null ? gen.session : first;
             gen.homes.sort(Comparator.comparing((Engine e) -> !e.zone.equals(zone))
-                    .thenComparing(e -> e.role != Role.READER)
                     .thenComparing(Comparator.comparingLong(text::affinity).reversed()));
         }
         return new ArrayList<>(gen.homes);
@@ -804,16 +793,6 @@
         return own + Math.max(0, weight * others + (1 - weight) * usual + more * each);
     }
 
-    private boolean maySelfRead(Engine writer) {
-        return writer.role == Role.BOTH || writersRead;
-    }
-
-    /** The free part of all writers' memory, 0 where that is not known: how far they are from being full. */
-    private double freeShare() {
-        double room = writers.stream().mapToDouble(this::roomToks).sum();
-        return Math.max(0, orZero(room / writers.stream().mapToDouble(e -> e.memoryToks).sum()));
-    }
-
     /** Room for this one beside all that this front has being read. */
     private boolean roomAnywhere(Gen gen) {
         double room = writers.stream().filter(e -> hasRoom(e, gen)).mapToDouble(this::roomToks).sum();
--- a/src/test/java/larchridge/ChoiceTest.java
+++ b/src/test/java/larchridge/ChoiceTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.Comparator;
 import java.util.List;
 import larchridge.state.Attempt;
 import larchridge.state.Effect;
@@ -262,71 +261,6 @@
         assertEquals(1, stage.sent.size());
     }
 
-    @Test
-    void furtherHomeCountsAsWarmOnlyOnceItHasShownThat() {
-        Engine[] fleet = stage.fleet(2, 1);
-        Text prefix = new Text("p");
-        Engine first = prefix.affinity(fleet[0]) > prefix.affinity(fleet[1]) ? fleet[0] : fleet[1];
-        // Over alpha, yet less than what a cold reader would have to read.
-        first.unreadToks = 3_100;
-        choice.arrived(begins(prefix, 6_000, 5_000));
-        assertSame(first, stage.last().engine);
-        Engine further = first == fleet[0] ? fleet[1] : fleet[0];
-        Attempt there = new Attempt(begins(prefix, 6_000, 5_000), further, true, stage.now, 1_000, 1_000);
-        there.open();
-        stage.now += 100;
-        choice.readDone(there, 5_000, null, true);
-        choice.arrived(begins(prefix, 6_000, 5_000));
-        assertSame(further, stage.last().engine);
-    }
-
-    @Test
-    void enginesThatReadForThemselvesHaveHomesOfAPrefixToo() {
-        for (int i = 0; i < 10; i++) {
-            stage.start();
-            Engine[] fleet = stage.fleet(1, 7);
-            List<Engine> both = List.of(fleet).subList(1, 7);
-            both.forEach(engine -> engine.role = Role.BOTH);
-            fleet[7].streams = 20;
-            fleet[0].unreadToks = 50_000;
-            Text prefix = new Text("p" + i);
-            stage.choice.arrived(begins(prefix, 6_000, 5_000));
-            assertSame(both.stream().max(Comparator.comparingLong(prefix::affinity)).get(), stage.last().engine);
-        }
-    }
-
-    @Test
-    void homeThatReadsForItselfComesBeforeAColdReader() {
-        Engine[] fleet = stage.fleet(2, 2);
-        fleet[2].role = Role.BOTH;
-        fleet[3].streams = 20;
-        Text prefix = new Text("p");
-        Engine first = prefix.affinity(fleet[0]) > prefix.affinity(fleet[1]) ? fleet[0] : fleet[1];
-        first.unreadToks = 3_100;
-        choice.arrived(begins(prefix, 6_000, 5_000));
-        assertSame(fleet[2], stage.last().engine);
-    }
-
-    @Test
-    void enginesReadForThemselvesAsFarAsTheMemoryOfWritersIsFree() {
-        Engine[] fleet = stage.fleet(1, 2);
-        fleet[1].role = Role.BOTH;
-        fleet[1].streams = 15;
-        fleet[2].streams = 20;
-        fleet[2].writeToks = 190_000;
-        fleet[0].unreadToks = 50_000;
-        choice.arrived(stage.gen("a"));
-        assertEquals(0, stage.sent.size());
-        fleet[2].writeToks = 0;
-        choice.arrived(stage.gen("b"));
-        assertSame(fleet[1], stage.last().engine);
-    }
-
-    private Gen begins(Text prefix, int promptToks, int sharedToks) {
-        return new Gen("g", Stage.product(Effect.IDEMPOTENT, Span.ALL), null, null, prefix, promptToks, sharedToks, 200,
-                Double.NaN, false, stage.now, stage.now + 5000);
-    }
-
     @Test
     void asksFollowGenerationsAndNotTheClock() {
         stage.terms.reportsWithProbes = true;
