One way to let go of what a connection has; one way for tests to hold a read

A refused, a leaving and a vanished client connection each dropped its head, body and what was sent ahead in lines of their own: now dropAll. Agent kept whether a call was answered, which is what "whole" says of a call that has not been left: the first answer ends all others and turns it off, and a failure that turns it on again leaves the call. Two comments said that asking costs nothing and that it costs processor; the first now says whom.

--- a/src/main/java/larchridge/node/discovery/Agent.java
+++ b/src/main/java/larchridge/node/discovery/Agent.java
@@ -41,7 +41,7 @@
     /**
      * A watch waits so long, and is silent when nothing has come that much later. Danger: what a silent watch misses
      * counts as told 6 s after it fell silent, and 4 s after a new configuration; a wait, its silence, a connection that
-     * does not come up and a second one have to fit in there. The agent is on the same machine: asking costs nothing.
+     * does not come up and a second one have to fit in there. The agent is on the same machine, and asking costs it nothing.
      */
     private static final int WAIT_MS = 2000;
     private static final double SILENT_MS = 1000;
@@ -159,7 +159,6 @@
     private final class Conversation extends SimpleChannelInboundHandler<FullHttpResponse> {
         private Channel channel;
         private boolean left;
-        private boolean answered;
         private long timer = -1;
 
         void open() {
@@ -184,7 +183,7 @@
             // Danger: an agent that was silent may never answer what it was asked meanwhile, and once it speaks again
             // what it has counts as told at once. The call stays open beside the next: it may come in slow pieces.
             ground.in(againMostMs, () -> {
-                if (!left && !answered && open.get(open.size() - 1) == this) {
+                if (!left && whole && open.get(open.size() - 1) == this) {
                     talk();
                 }
             });
@@ -208,7 +207,6 @@
                 return;
             }
             stopTimer();
-            answered = true;
             if (response.decoderResult().isFailure() || response.status().code() != 200) {
                 failed("answer " + response.status().code());
                 return;
--- a/src/main/java/larchridge/node/door/ClientConnection.java
+++ b/src/main/java/larchridge/node/door/ClientConnection.java
@@ -252,10 +252,7 @@
 
     /** An error that ends the connection: what follows can't be trusted. */
     private void refuse(HttpResponseStatus status, String why) {
-        over = true;
-        head = null;
-        drop();
-        dropAhead();
+        dropAll();
         answer(status, why, 0, true);
     }
 
@@ -298,7 +295,11 @@
         }
     }
 
-    private void dropAhead() {
+    /** Takes nothing more, and lets go of what has come and is not being served. */
+    private void dropAll() {
+        over = true;
+        head = null;
+        drop();
         while (!ahead.isEmpty()) {
             ReferenceCountUtil.release(nextAhead());
         }
@@ -324,10 +325,7 @@
 
     /** Ends a connection that has no request; one that its client has begun to send is dropped, and is sent again. */
     void leave() {
-        over = true;
-        head = null;
-        drop();
-        dropAhead();
+        dropAll();
         hangUp();
     }
 
@@ -360,9 +358,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         door.left(this);
-        over = true;
-        drop();
-        dropAhead();
+        dropAll();
         if (exchange != null) {
             exchange.clientLeft();
         }
--- a/src/test/java/larchridge/node/NodeTest.java
+++ b/src/test/java/larchridge/node/NodeTest.java
@@ -75,6 +75,14 @@
 
     private record Gate(CountDownLatch asked, CountDownLatch open) { }
 
+    /** A client whose request a reader has and does not answer before the gate is opened. */
+    private Scene.RawClient held(Gate gate, String id) throws IOException {
+        Scene.RawClient client = scene.client();
+        client.send(Scene.ask(id, ""));
+        await(gate.asked);
+        return client;
+    }
+
     private static void await(CountDownLatch latch) {
         try {
             assertTrue(latch.await(8, TimeUnit.SECONDS));
@@ -107,7 +115,7 @@
     @Test
     void requestsSentAheadAreAnsweredInTheirOrder() throws Exception {
         Scene.RawClient client = scene.client();
-        client.send(Scene.ask(Scene.id(), "") + Scene.ask(Scene.id(), "") + "GET /up HTTP/1.1\r\nHost: n\r\n\r\n");
+        client.send(Scene.ask(Scene.id(), "") + Scene.ask(Scene.id(), "") + Scene.UP);
         for (int i = 0; i < 2; i++) {
             served(client);
         }
@@ -203,9 +211,7 @@
     void requestOfAClientThatHasGoneBehindAFullConnectionIsNotSentOn() throws Exception {
         Gate gate = gateReads();
         String id = Scene.id();
-        Scene.RawClient client = scene.client();
-        client.send(Scene.ask(id, ""));
-        await(gate.asked);
+        Scene.RawClient client = held(gate, id);
         for (int i = 0; i < 4000; i++) {
             client.send(Scene.ask(Scene.id(), ""));
         }
@@ -291,9 +297,7 @@
     void idOfAnOpenGenerationIsRefusedAndTheFirstIsUntouched() throws Exception {
         Gate gate = gateReads();
         String id = Scene.id();
-        Scene.RawClient first = scene.client();
-        first.send(Scene.ask(id, ""));
-        await(gate.asked);
+        Scene.RawClient first = held(gate, id);
         Scene.RawClient second = scene.client();
         second.send(Scene.ask(id, ""));
         assertTrue(second.rest().startsWith("HTTP/1.1 409 "));
@@ -343,7 +347,7 @@
     void newConnectionIsServedWhereAllOthersHaveAskedOnceAndStayed() throws Exception {
         for (int i = 0; i < 200; i++) {
             Scene.RawClient stays = scene.client();
-            stays.send("GET /up HTTP/1.1\r\nHost: n\r\n\r\n");
+            stays.send(Scene.UP);
             assertTrue(stays.answer().startsWith("HTTP/1.1 200 "), "connection " + i);
         }
         assertEquals(126, scene.node.connections());
@@ -443,16 +447,14 @@
     @Test
     void endAnswersAllThatCameAndSaysSo() throws Exception {
         Gate gate = gateReads();
-        Scene.RawClient busy = scene.client();
         Scene.RawClient rests = scene.client();
-        rests.send("GET /up HTTP/1.1\r\nHost: n\r\n\r\n");
+        rests.send(Scene.UP);
         assertTrue(rests.answer().startsWith("HTTP/1.1 200 "));
-        busy.send(Scene.ask(Scene.id(), ""));
-        await(gate.asked);
+        Scene.RawClient busy = held(gate, Scene.id());
         scene.node.end();
         assertEquals("", rests.rest());
         Scene.RawClient late = scene.client();
-        late.send("GET /up HTTP/1.1\r\nHost: n\r\n\r\n");
+        late.send(Scene.UP);
         assertTrue(late.rest().startsWith("HTTP/1.1 503 "));
         gate.open.countDown();
         assertTrue(busy.rest().endsWith("0\r\n\r\n"));
--- a/src/test/java/larchridge/node/Scene.java
+++ b/src/test/java/larchridge/node/Scene.java
@@ -107,6 +107,9 @@
         return new Reply(answer("200 OK", whole()), true);
     }
 
+    /** Asks whether the node can serve. */
+    static final String UP = "GET /up HTTP/1.1\r\nHost: n\r\n\r\n";
+
     static String answer(String status, String body) {
         return "HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
