The node's loop sleeps until its next timer is due instead of polling before it

Cause: Netty's NioIoHandler.millisBeforeDeadline rounds the wait to the nearest millisecond; with under half of one to go it is 0, select() does selectNow() and the loop goes round again until the timer is due. Node.java made its loop with that handler as it is.

Mend: WholeMillisecondIoHandler around it gives the delay rounded up to whole milliseconds; a timer runs up to 1 ms later.

--- a/src/main/java/larchridge/node/Node.java
+++ b/src/main/java/larchridge/node/Node.java
@@ -69,7 +69,8 @@
     private final Map<String, String> variables;
     private final NodeFile file;
     private final CountDownLatch ended = new CountDownLatch(1);
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            WholeMillisecondIoHandler.around(NioIoHandler.newFactory()));
     private final EventLoop loop = (EventLoop) group.next();
     private final ByteBufAllocator buffers = new PooledByteBufAllocator(true, 1, 1, PAGE_BYTES, CHUNK_ORDER,
             64, 32, true);
--- /dev/null
+++ b/src/main/java/larchridge/node/WholeMillisecondIoHandler.java
@@ -0,0 +1,96 @@
+package larchridge.node;
+
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.IoRegistration;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Lets an event loop sleep until its next timer is due, in whole milliseconds. Netty's NIO handler rounds the wait to the
+ * nearest millisecond: with less than half of one to go it polls its selector without a wait, turn after turn, until the
+ * timer is due. On a small share of a processor these turns cost more than all requests, and answers wait behind them.
+ */
+final class WholeMillisecondIoHandler implements IoHandler {
+    private static final long MILLISECOND_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+
+    private final IoHandler handler;
+
+    /** Waits as told here, and does all else as the handler that is given. */
+    WholeMillisecondIoHandler(IoHandler handler) {
+        this.handler = handler;
+    }
+
+    /** A factory of such handlers around those of another factory. */
+    static IoHandlerFactory around(IoHandlerFactory factory) {
+        return executor -> new WholeMillisecondIoHandler(factory.newHandler(executor));
+    }
+
+    @Override
+    public int run(IoHandlerContext context) {
+        return handler.run(new RoundedUp(context));
+    }
+
+    @Override
+    public void initialize() {
+        handler.initialize();
+    }
+
+    @Override
+    public void prepareToDestroy() {
+        handler.prepareToDestroy();
+    }
+
+    @Override
+    public void destroy() {
+        handler.destroy();
+    }
+
+    @Override
+    public IoRegistration register(IoHandle handle) throws Exception {
+        return handler.register(handle);
+    }
+
+    @Override
+    public void wakeup() {
+        handler.wakeup();
+    }
+
+    @Override
+    public boolean isCompatible(Class<? extends IoHandle> handleType) {
+        return handler.isCompatible(handleType);
+    }
+
+    /** The loop's context, with the time to the next timer rounded up. */
+    private record RoundedUp(IoHandlerContext context) implements IoHandlerContext {
+        @Override
+        public boolean canBlock() {
+            return context.canBlock();
+        }
+
+        @Override
+        public long delayNanos(long currentTimeNanos) {
+            long delay = context.delayNanos(currentTimeNanos);
+            if (delay <= 0 || delay > Long.MAX_VALUE - MILLISECOND_NANOS) {
+                return delay;
+            }
+            return (delay + MILLISECOND_NANOS - 1) / MILLISECOND_NANOS * MILLISECOND_NANOS;
+        }
+
+        @Override
+        public long deadlineNanos() {
+            return context.deadlineNanos();
+        }
+
+        @Override
+        public void reportActiveIoTime(long activeNanos) {
+            context.reportActiveIoTime(activeNanos);
+        }
+
+        @Override
+        public boolean shouldReportActiveIoTime() {
+            return context.shouldReportActiveIoTime();
+        }
+    }
+}
