A connection on which nothing was sent keeps its age

From reading, not from a run: Wire.start put a connection back through Pool.rest when the attempt for it must not be sent any more, and rest() set idleSinceMs to now and counted the engine as heard from. The engine counts from its last answer, so that such a connection could be used after its engine had closed it; a request written then ends as a reset and may have run.

Pool.putBack keeps the time and the order.

--- a/src/main/java/larchridge/node/link/Pool.java
+++ b/src/main/java/larchridge/node/link/Pool.java
@@ -49,17 +49,32 @@
     }
 
     void opening(Wire wire) {
+        wire.idleSinceMs = link.nowMs();
         all.add(wire);
     }
 
+    /** Keeps a connection whose answer has just ended. */
     void rest(Wire wire) {
+        wire.idleSinceMs = link.nowMs();
+        heardMs = wire.idleSinceMs;
+        putBack(wire);
+    }
+
+    /**
+     * Keeps a connection on which nothing was sent: it has rested all the time. Counted from now, it would be used after its
+     * engine has closed it.
+     */
+    void putBack(Wire wire) {
         if (!wire.isUsable()) {
             wire.close();
             return;
         }
-        wire.idleSinceMs = link.nowMs();
-        heardMs = wire.idleSinceMs;
+        ArrayDeque<Wire> newer = new ArrayDeque<>();
+        while (!idle.isEmpty() && idle.peekFirst().idleSinceMs > wire.idleSinceMs) {
+            newer.addFirst(idle.pollFirst());
+        }
         idle.addFirst(wire);
+        newer.forEach(idle::addFirst);
     }
 
     void lost(Wire wire) {
--- a/src/main/java/larchridge/node/link/Wire.java
+++ b/src/main/java/larchridge/node/link/Wire.java
@@ -54,7 +54,7 @@
         FullHttpRequest request = next.request();
         if (request == null) {
             call = null;
-            pool.rest(this);
+            pool.putBack(this);
             return;
         }
         channel.writeAndFlush(request).addListener(done -> {
