Shutdown answers what has come in part; nothing is sent on for a client whose close is unread

Shutdown (Node.leave, Door.close, ClientConnection.leave): a connection accepted and not yet asked on, or with a part of a request, was shut at SIGTERM, and its request read and dropped. Requests sent ahead are answered too, the last answer saying that the connection ends; a resting connection is read once more before it is shut. The word to end before anything was built was forgotten (leave() returned where door was null) and the node went on; a listener that opened after the word to end stayed open. The last releases had 200 ms, whatever their engines did; the link is closed when they are taken, or when the time for a held state is over.

Gone clients (Exchange, Front.send): a close that waited in the socket behind other events of the same turn was not seen, and an attempt began for nobody: the request with its close behind it, a further attempt whose timer fell due in that turn, a request sent ahead, a read that ended in that turn. A client's socket is read before each attempt is written.

Discovery (Agent.channelRead0): a watch that told an older version than the one known was taken, and could tell an engine to serve that had begun to drain. Now the whole list is asked for.

--- a/src/main/java/larchridge/enginelink/EngineLink.java
+++ b/src/main/java/larchridge/enginelink/EngineLink.java
@@ -22,6 +22,11 @@
         void told(boolean answered, Report report);
     }
 
+    /** Whether a release is under way that no engine has taken yet. */
+    default boolean isReleasing() {
+        return false;
+    }
+
     /** Closes what is open. */
     void close();
 
--- a/src/main/java/larchridge/front/Front.java
+++ b/src/main/java/larchridge/front/Front.java
@@ -51,6 +51,9 @@
     /** Before the client's limit, and after the module's own last moment. */
     private static final double LAST_RESORT_MS = 8;
     private static final int LOOK_MS = 100;
+    /** At the end, releases have this long to leave; where they are still under way then, they are looked at this often. */
+    private static final double LAST_RELEASES_MS = 200;
+    private static final double RELEASE_LOOK_MS = 20;
 
     /** Null on other ground than a loop. */
     private final Vertx vertx;
@@ -349,7 +352,7 @@
         Ask ask = one.ask;
         Order order = new Order(trip.rid, spot, ask.model(), ask.prompt(), ask.maxToks(), ask.stops(),
                 ask.sampling(), source == null ? null : source.state, repeatKey(one), ask.passage(),
-                () -> attempt.engine.mode == Mode.READY && !one.duty.isDone());
+                () -> attempt.engine.mode == Mode.READY && !one.duty.isDone() && !one.client.isGone());
         Ears ears = new Ears(one, trip);
         trip.holds = attempt.read;
         trip.flight = attempt.read ? link.read(order, ears) : link.write(order, ears);
@@ -684,12 +687,19 @@
         if (whenIdle != null && inside == 0 && open.isEmpty()) {
             Runnable done = whenIdle;
             whenIdle = null;
-            // The last releases are on their way for as long as a held state may wait.
-            ground.in(Math.min(200, site.releaseMs), () -> {
-                link.close();
-                done.run();
-            });
+            ground.in(Math.min(LAST_RELEASES_MS, site.releaseMs), () -> closeLink(nowMs + site.releaseMs, done));
+        }
+    }
+
+    /** Closes the link once the last releases have been taken; after the time that a state may be held they are void. */
+    private void closeLink(double latestMs, Runnable done) {
+        tick();
+        if (link.isReleasing() && nowMs < latestMs) {
+            ground.in(RELEASE_LOOK_MS, () -> closeLink(latestMs, done));
+            return;
         }
+        link.close();
+        done.run();
     }
 
     // ------------------------------------------------------------------ small things
--- a/src/main/java/larchridge/node/Node.java
+++ b/src/main/java/larchridge/node/Node.java
@@ -79,7 +79,8 @@
     private Front front;
     private Door door;
     private Agent agent;
-    private boolean ending;
+    /** Set on the loop; the thread that starts the node looks at it. */
+    private volatile boolean ending;
 
     private Node(Map<String, String> variables, NodeFile file) {
         this.variables = variables;
@@ -136,7 +137,8 @@
         return node;
     }
 
-    private static Node make(Map<String, String> variables) throws BadNode {
+    /** A node that has not been started. */
+    static Node make(Map<String, String> variables) throws BadNode {
         NodeFile file = NodeFile.read(variables);
         file.check(variables);
         return new Node(variables, file);
@@ -146,11 +148,25 @@
         return door.port();
     }
 
+    /** The loop that owns all state; tests hold it so that several things have come when it goes on. */
+    EventLoop loop() {
+        return loop;
+    }
+
     /** Client connections; on any thread, as of a moment. */
     int connections() throws InterruptedException, ExecutionException {
         return loop.submit(door::connections).get();
     }
 
+    /** Engines on the list; on any thread, as of a moment. */
+    int engines() throws InterruptedException, ExecutionException {
+        return loop.submit(() -> {
+            int[] count = new int[1];
+            front.engines((spot, engine) -> count[0]++);
+            return count[0];
+        }).get();
+    }
+
     /** Requests that the engines' side still knows; on any thread, as of a moment. */
     int openTales() throws InterruptedException, ExecutionException {
         return loop.submit(link::openTales).get();
@@ -173,8 +189,11 @@
         group.shutdownGracefully(0, 500, TimeUnit.MILLISECONDS).await(1000);
     }
 
-    private void start() throws BadNode, InterruptedException {
+    void start() throws BadNode, InterruptedException {
         loop.submit(this::build).await();
+        if (ending) {
+            return;
+        }
         if (door == null) {
             throw new BadNode("the node could not be built; the log has the cause");
         }
@@ -196,6 +215,9 @@
     }
 
     private void build() {
+        if (ending) {
+            return;
+        }
         try {
             Site site = Site.plain(file.given.terms);
             long heap = Runtime.getRuntime().maxMemory();
@@ -262,7 +284,9 @@
 
     /** A new configuration: where discovery is may have changed. What can't be read changes nothing. */
     void readAgain() {
-        loop.execute(this::follow);
+        if (!loop.isShuttingDown()) {
+            loop.execute(this::follow);
+        }
     }
 
     private void follow() {
@@ -289,11 +313,16 @@
     }
 
     private void leave() {
-        if (ending || door == null) {
+        if (ending) {
             return;
         }
         ending = true;
         LOG.info("ending");
+        if (door == null) {
+            // The word to end came before anything was built, and nothing will be.
+            ended.countDown();
+            return;
+        }
         door.close();
         ground.in(COMING_MS, () -> {
             door.shut();
--- a/src/main/java/larchridge/node/discovery/Agent.java
+++ b/src/main/java/larchridge/node/discovery/Agent.java
@@ -217,6 +217,11 @@
                     failed("changes where the whole list was asked for");
                     return;
                 }
+                if (!whole && list.index() < index) {
+                    // It is older than what is known; taken, it would tell engines to serve that have begun to drain.
+                    failed("an older list");
+                    return;
+                }
                 List.copyOf(open).stream().filter(other -> other != this).forEach(Conversation::leave);
                 take(list);
                 whole = false;
--- a/src/main/java/larchridge/node/door/ClientConnection.java
+++ b/src/main/java/larchridge/node/door/ClientConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -41,10 +42,12 @@
 
     private final Door door;
     private final Channel channel;
+    private final StrictDecoder decoder = new StrictDecoder(this::requestStarted);
     private final double enteredMs;
     private boolean served;
     private double idleSinceMs;
 
+    private double requestStartedMs;
     private HttpRequest head;
     private double headMs;
     private byte[] body = new byte[0];
@@ -66,8 +69,20 @@
         idleSinceMs = enteredMs;
     }
 
+    StrictDecoder decoder() {
+        return decoder;
+    }
+
     // ------------------------------------------------------------------ what comes
 
+    /** The first byte of a request has come; it may be behind one that is being served. */
+    private void requestStarted() {
+        requestStartedMs = door.ground.nowMs();
+        if (!over && exchange == null) {
+            door.receiving(this);
+        }
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         HttpObject part = (HttpObject) message;
@@ -135,7 +150,7 @@
     }
 
     private void begin(HttpRequest request) {
-        door.busy(this);
+        door.receiving(this);
         head = request;
         headMs = door.ground.nowMs();
         served = true;
@@ -241,13 +256,34 @@
             refuse(HttpResponseStatus.CONFLICT, "Req-Id: was used before");
             return;
         }
-        int bytes = length;
         Passage passage = new Passage("POST", target, asked.id(), body(), headMs + asked.deadlineMs());
-        Exchange own = new Exchange(asked.id(), bytes, !HttpUtil.isKeepAlive(request));
+        Exchange own = new Exchange(asked.id(), passage.body().length, !HttpUtil.isKeepAlive(request));
         exchange = own;
+        door.serving(this);
+        double receivedMs = headMs;
+        // A client that closes right behind its request has gone: the close is read before anything is sent on.
+        door.ground.later(() -> submit(own, asked, offer, passage, receivedMs));
+    }
+
+    private void submit(Exchange own, RequestHead asked, Offer offer, Passage passage, double receivedMs) {
+        if (own.done || hasLeft()) {
+            return;
+        }
         door.front.take(Ask.passing(offer, door.site.guest, passage, asked.promptToks(), asked.sharedToks(),
                 asked.maxToks(), asked.prefix(), asked.session(), asked.resent(), asked.deadlineMs(),
-                door.ground.nowMs() - headMs), own, open -> own.open = open);
+                door.ground.nowMs() - receivedMs), own, open -> own.open = open);
+    }
+
+    /**
+     * Whether the client has closed, judged after all has been read that its socket holds. Without this an attempt could
+     * start for a client whose close waits unread behind other connections' events in the same turn of the loop. Not to be
+     * called while this connection is being read.
+     */
+    private boolean hasLeft() {
+        if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+            socket.read();
+        }
+        return !channel.isActive();
     }
 
     /** An error that ends the connection: what follows can't be trusted. */
@@ -266,8 +302,7 @@
         if (comeBackMs > 0) {
             response.headers().set(HttpHeaderNames.RETRY_AFTER, Double.toString(Math.round(comeBackMs) / 1000.0));
         }
-        boolean closes = last || door.isClosing();
-        if (closes) {
+        if (last || isLastAnswer()) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             channel.writeAndFlush(response);
             hangUp();
@@ -281,7 +316,11 @@
     private void rest() {
         exchange = null;
         idleSinceMs = door.ground.nowMs();
-        door.idle(this);
+        if (decoder.isReceiving()) {
+            door.receiving(this);
+        } else {
+            door.idle(this);
+        }
         while (exchange == null && !over && !ahead.isEmpty()) {
             HttpObject part = nextAhead();
             try {
@@ -290,11 +329,16 @@
                 ReferenceCountUtil.release(part);
             }
         }
-        if (overrun && exchange == null && !over) {
+        if (exchange == null && !over && (overrun || isLastAnswer())) {
             leave();
         }
     }
 
+    /** At the end of the process a connection is kept only for requests that have come on it, in part at least. */
+    private boolean isLastAnswer() {
+        return door.isClosing() && ahead.isEmpty() && !decoder.isReceiving();
+    }
+
     /** Takes nothing more, and lets go of what has come and is not being served. */
     private void dropAll() {
         over = true;
@@ -315,15 +359,27 @@
         if (over || exchange != null) {
             return;
         }
+        boolean receiving = decoder.isReceiving();
         if (head != null && now - headMs > door.bounds.requestMs()
-                || !served && now - enteredMs > door.bounds.requestMs()) {
+                || !served && now - enteredMs > door.bounds.requestMs()
+                || head == null && receiving && now - Math.max(requestStartedMs, idleSinceMs) > door.bounds.requestMs()) {
             refuse(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time");
-        } else if (head == null && now - idleSinceMs > door.bounds.idleMs()) {
+        } else if (head == null && !receiving && now - idleSinceMs > door.bounds.idleMs()) {
+            leave();
+        }
+    }
+
+    /**
+     * The process is to end: ends the connection if it has been served and rests. One that has not been asked on yet is
+     * kept for its first request, within the bound on that: closed now, its client would lose the request under way.
+     */
+    void endIfServed() {
+        if (served && !hasLeft() && !over && exchange == null && !decoder.isReceiving()) {
             leave();
         }
     }
 
-    /** Ends a connection that has no request; one that its client has begun to send is dropped, and is sent again. */
+    /** Ends a connection without a request. */
     void leave() {
         dropAll();
         hangUp();
@@ -390,6 +446,8 @@
         private Open open;
         private boolean done;
         private boolean begun;
+        /** Whether the head of the answer said that the connection ends behind it. */
+        private boolean saidClose;
 
         Exchange(String id, int bytes, boolean last) {
             this.id = id;
@@ -423,7 +481,8 @@
             HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/event-stream")
                     .set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-            if (last || door.isClosing()) {
+            saidClose = last || isLastAnswer();
+            if (saidClose) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
             channel.write(response);
@@ -446,7 +505,7 @@
 
         @Override
         public boolean isGone() {
-            return !channel.isActive();
+            return hasLeft();
         }
 
         @Override
@@ -459,7 +518,7 @@
             if (!finish()) {
                 return;
             }
-            if (last || door.isClosing()) {
+            if (saidClose || isLastAnswer()) {
                 channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
                 hangUp();
             } else {
--- a/src/main/java/larchridge/node/door/Door.java
+++ b/src/main/java/larchridge/node/door/Door.java
@@ -39,6 +39,8 @@
     private final ByteBufAllocator buffers;
     /** Connections without a request, longest first. */
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
+    /** Connections on which a part of a request has come, longest first. */
+    private final Set<ClientConnection> receiving = new LinkedHashSet<>();
     /** Connections that this side has ended and reads on for a while, longest first. */
     private final Set<ClientConnection> ending = new LinkedHashSet<>();
     private final Set<ClientConnection> all = new LinkedHashSet<>();
@@ -49,6 +51,7 @@
     private long heldBytes;
     private boolean ready;
     private boolean closing;
+    private boolean shut;
 
     public Door(EventLoopGroup loop, ByteBufAllocator buffers, Ground ground, Front front, Site site,
                 Collection<Product> products, DoorBounds bounds) {
@@ -68,7 +71,7 @@
 
     /** Listens; fails if the address can't be had. Not to be called on the loop. */
     public void listen(String host, int port) throws InterruptedException {
-        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        Channel bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.ALLOCATOR, buffers)
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -77,6 +80,15 @@
                         enter(channel);
                     }
                 }).bind(host, port).sync().channel();
+        loop.next().submit(() -> listens(bound)).sync();
+    }
+
+    /** A node may be told to end while it opens its listener. */
+    private void listens(Channel bound) {
+        listener = bound;
+        if (shut) {
+            listener.close();
+        }
     }
 
     public int port() {
@@ -92,10 +104,10 @@
         return ready && !closing;
     }
 
-    /** Says that no more is wanted, still takes what comes, and keeps no connection without a request. */
+    /** Says that no more is wanted, still takes what comes, and keeps no connection that was served and rests. */
     public void close() {
         closing = true;
-        List.copyOf(idle).forEach(ClientConnection::leave);
+        List.copyOf(idle).forEach(ClientConnection::endIfServed);
     }
 
     boolean isClosing() {
@@ -104,6 +116,7 @@
 
     /** Takes no more connections. */
     public void shut() {
+        shut = true;
         if (listener != null) {
             listener.close();
         }
@@ -127,7 +140,7 @@
     /** Takes a client's connection. */
     public void enter(Channel channel) {
         ClientConnection client = new ClientConnection(this, channel);
-        channel.pipeline().addLast(new StrictDecoder(), new HttpResponseEncoder(), client);
+        channel.pipeline().addLast(client.decoder(), new HttpResponseEncoder(), client);
         all.add(client);
         idle.add(client);
         if (all.size() > bounds.connections()) {
@@ -136,13 +149,14 @@
     }
 
     /**
-     * Ends, at once, one that ends anyway, else the one without a request for longest. Danger: one that has just come is
+     * Ends, at once, one that ends anyway, else the one without a request for longest, else the one whose request has been
+     * under way for longest. Danger: one that has just come is
      * about to ask, and its client loses that request. And the end of a connection is told later than the next one
      * comes: one that is to end no longer counts, or a crowd that comes at once would have the same one ended again and
      * again and take all descriptors.
      */
     private void makeRoom() {
-        for (Set<ClientConnection> some : List.of(ending, idle)) {
+        for (Set<ClientConnection> some : List.of(ending, idle, receiving)) {
             if (!some.isEmpty()) {
                 ClientConnection client = some.iterator().next();
                 left(client);
@@ -152,25 +166,42 @@
         }
     }
 
-    void busy(ClientConnection client) {
+    /** The connection has an open request. */
+    void serving(ClientConnection client) {
+        idle.remove(client);
+        receiving.remove(client);
+    }
+
+    /** A part of a request has come on the connection. */
+    void receiving(ClientConnection client) {
         idle.remove(client);
+        if (isOpen(client)) {
+            receiving.add(client);
+        }
     }
 
+    /** The connection has no request. */
     void idle(ClientConnection client) {
-        if (all.contains(client) && !ending.contains(client)) {
+        receiving.remove(client);
+        if (isOpen(client)) {
             idle.add(client);
         }
     }
 
+    /** This side has ended the connection and reads on. */
     void ending(ClientConnection client) {
-        busy(client);
+        serving(client);
         if (all.contains(client)) {
             ending.add(client);
         }
     }
 
+    private boolean isOpen(ClientConnection client) {
+        return all.contains(client) && !ending.contains(client);
+    }
+
     void left(ClientConnection client) {
-        busy(client);
+        serving(client);
         ending.remove(client);
         all.remove(client);
     }
--- a/src/main/java/larchridge/node/link/PassageLink.java
+++ b/src/main/java/larchridge/node/link/PassageLink.java
@@ -147,6 +147,11 @@
         return pool == null ? 0 : pool.size();
     }
 
+    @Override
+    public boolean isReleasing() {
+        return tales.values().stream().anyMatch(tale -> tale.owed || tale.releasing);
+    }
+
     /** Requests with an attempt out or a state to let go of. */
     public int openTales() {
         return tales.size();
--- a/src/test/java/larchridge/node/NodeTest.java
+++ b/src/test/java/larchridge/node/NodeTest.java
@@ -55,48 +55,12 @@
         return all.toString();
     }
 
-    /** The next answer there is a whole stream; gives its bytes. */
-    private static String served(Scene.RawClient client) throws IOException {
-        String answer = client.until("0\r\n\r\n");
-        assertTrue(answer.startsWith("HTTP/1.1 200 "));
-        return answer;
-    }
-
-    /** Readers' answers wait until the gate is opened. */
-    private Gate gateReads() {
-        Gate gate = new Gate(new CountDownLatch(1), new CountDownLatch(1));
-        scene.reader.script = seen -> {
-            gate.asked.countDown();
-            await(gate.open);
-            return new Reply(Scene.read(0), true);
-        };
-        return gate;
-    }
-
-    private record Gate(CountDownLatch asked, CountDownLatch open) { }
-
-    /** A client whose request a reader has and does not answer before the gate is opened. */
-    private Scene.RawClient held(Gate gate, String id) throws IOException {
-        Scene.RawClient client = scene.client();
-        client.send(Scene.ask(id, ""));
-        await(gate.asked);
-        return client;
-    }
-
-    private static void await(CountDownLatch latch) {
-        try {
-            assertTrue(latch.await(8, TimeUnit.SECONDS));
-        } catch (InterruptedException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     @Test
     void requestGoesUnchangedToReaderThenWriterAndEventsComeBackAsTheyWere() throws Exception {
         String id = Scene.id();
         Scene.RawClient client = scene.client();
         client.send(Scene.ask(id, ""));
-        String answer = served(client);
+        String answer = Scene.served(client);
         assertEquals(Scene.EVENT + Scene.EVENT + Scene.END, events(answer));
         for (Scene.Actor engine : new Scene.Actor[] {scene.reader, scene.writer}) {
             Seen seen = engine.next("POST");
@@ -108,7 +72,7 @@
         }
         // The same connection serves the next request, and nothing of the first is left to let go of.
         client.send(Scene.ask(Scene.id(), ""));
-        served(client);
+        Scene.served(client);
         assertTrue(scene.writer.seen.stream().noneMatch(seen -> seen.method().equals("DELETE")));
     }
 
@@ -117,7 +81,7 @@
         Scene.RawClient client = scene.client();
         client.send(Scene.ask(Scene.id(), "") + Scene.ask(Scene.id(), "") + Scene.UP);
         for (int i = 0; i < 2; i++) {
-            served(client);
+            Scene.served(client);
         }
         assertTrue(client.answer().startsWith("HTTP/1.1 200 "));
     }
@@ -132,7 +96,7 @@
                     : new Reply(Scene.GOOD + Scene.chunk(Scene.EVENT + Scene.END) + "0\r\n\r\n", true);
             Scene.RawClient client = scene.client();
             client.send(Scene.ask(Scene.id(), ""));
-            assertEquals(Scene.EVENT + Scene.END, events(served(client)), noise.substring(0, 8));
+            assertEquals(Scene.EVENT + Scene.END, events(Scene.served(client)), noise.substring(0, 8));
             assertEquals(2, calls.get());
         }
     }
@@ -162,7 +126,7 @@
         Scene.RawClient client = scene.client();
         for (int i = 0; i < 2; i++) {
             client.send(Scene.ask(Scene.id(), ""));
-            assertEquals(Scene.EVENT + Scene.END, events(served(client)));
+            assertEquals(Scene.EVENT + Scene.END, events(Scene.served(client)));
         }
         Seen first = scene.writer.next("POST");
         assertNotEquals(first.connection(), scene.writer.next("POST").connection());
@@ -175,7 +139,7 @@
                 : new Reply(Scene.GOOD + Scene.chunk(Scene.EVENT + Scene.END) + "0\r\n\r\n", true);
         Scene.RawClient client = scene.client();
         client.send(Scene.ask(Scene.id(), ""));
-        served(client);
+        Scene.served(client);
         scene.reader.next("POST");
         scene.reader.next("POST");
     }
@@ -192,7 +156,7 @@
         scene.reader.script = seen -> new Reply(Scene.read(0), true);
         Scene.RawClient other = scene.client();
         other.send(Scene.ask(Scene.id(), ""));
-        served(other);
+        Scene.served(other);
     }
 
     @Test
@@ -209,19 +173,19 @@
 
     @Test
     void requestOfAClientThatHasGoneBehindAFullConnectionIsNotSentOn() throws Exception {
-        Gate gate = gateReads();
+        Scene.Gate gate = scene.gateReads();
         String id = Scene.id();
-        Scene.RawClient client = held(gate, id);
+        Scene.RawClient client = scene.held(gate, id);
         for (int i = 0; i < 4000; i++) {
             client.send(Scene.ask(Scene.id(), ""));
         }
         client.close();
         assertEquals("/v1/holds/" + id, scene.reader.next("DELETE").target());
-        gate.open.countDown();
+        gate.open().countDown();
         Scene.RawClient other = scene.client();
         String next = Scene.id();
         other.send(Scene.ask(next, ""));
-        served(other);
+        Scene.served(other);
         assertEquals(next, scene.writer.next("POST").header("Req-Id"));
     }
 
@@ -235,7 +199,7 @@
         String id = Scene.id();
         Scene.RawClient client = scene.client();
         client.send(Scene.ask(id, ""));
-        await(reading);
+        Scene.await(reading);
         client.close();
         assertEquals("/v1/holds/" + id, scene.reader.next("DELETE").target());
     }
@@ -295,14 +259,14 @@
 
     @Test
     void idOfAnOpenGenerationIsRefusedAndTheFirstIsUntouched() throws Exception {
-        Gate gate = gateReads();
+        Scene.Gate gate = scene.gateReads();
         String id = Scene.id();
-        Scene.RawClient first = held(gate, id);
+        Scene.RawClient first = scene.held(gate, id);
         Scene.RawClient second = scene.client();
         second.send(Scene.ask(id, ""));
         assertTrue(second.rest().startsWith("HTTP/1.1 409 "));
-        gate.open.countDown();
-        served(first);
+        gate.open().countDown();
+        Scene.served(first);
         assertEquals(id, scene.reader.next("POST").header("Req-Id"));
         assertTrue(scene.reader.seen.isEmpty());
     }
@@ -317,7 +281,7 @@
             if (i % 50 == 0) {
                 Scene.RawClient usual = scene.client();
                 usual.send(Scene.ask(Scene.id(), ""));
-                served(usual);
+                Scene.served(usual);
             }
             if (i == 299) {
                 silent.rest();
@@ -340,7 +304,7 @@
         assertTrue(most > 100 && most <= 126, "connections " + most + " where 0.42 of 300 are allowed");
         Scene.RawClient usual = scene.client();
         usual.send(Scene.ask(Scene.id(), ""));
-        served(usual);
+        Scene.served(usual);
     }
 
     @Test
@@ -369,7 +333,7 @@
             }
             scene.reader.seen.clear();
             client.send(Scene.ask(Scene.id(), ""));
-            served(client);
+            Scene.served(client);
             other.next("POST");
             assertTrue(scene.reader.seen.isEmpty());
         }
@@ -416,12 +380,12 @@
         CountDownLatch asked = new CountDownLatch(1);
         try (Scene.Actor slow = new Scene.Actor(seen -> {
             asked.countDown();
-            await(open);
+            Scene.await(open);
             return scene.discovery.script.apply(seen);
         })) {
             scene.configure(slow.port());
             Thread later = new Thread(() -> {
-                await(asked);
+                Scene.await(asked);
                 open.countDown();
             });
             later.start();
@@ -446,17 +410,17 @@
 
     @Test
     void endAnswersAllThatCameAndSaysSo() throws Exception {
-        Gate gate = gateReads();
+        Scene.Gate gate = scene.gateReads();
         Scene.RawClient rests = scene.client();
         rests.send(Scene.UP);
         assertTrue(rests.answer().startsWith("HTTP/1.1 200 "));
-        Scene.RawClient busy = held(gate, Scene.id());
+        Scene.RawClient busy = scene.held(gate, Scene.id());
         scene.node.end();
         assertEquals("", rests.rest());
         Scene.RawClient late = scene.client();
         late.send(Scene.UP);
         assertTrue(late.rest().startsWith("HTTP/1.1 503 "));
-        gate.open.countDown();
+        gate.open().countDown();
         assertTrue(busy.rest().endsWith("0\r\n\r\n"));
         scene.node.awaitEnd();
         assertThrows(IOException.class, () -> scene.client());
@@ -503,7 +467,7 @@
         Scene.RawClient client = scene.client();
         for (int i = 0; i < 1500; i++) {
             client.send(Scene.ask(Scene.id(), "").replace("k1", "k" + i).replace("prefix=p1", "prefix=p" + i));
-            served(client);
+            Scene.served(client);
             scene.reader.seen.clear();
             scene.writer.seen.clear();
         }
--- a/src/test/java/larchridge/node/Scene.java
+++ b/src/test/java/larchridge/node/Scene.java
@@ -1,5 +1,8 @@
 package larchridge.node;
 
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -14,10 +17,12 @@
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 /** A node over loopback between scripted engines, a scripted discovery agent and raw clients; bytes as the pages say. */
 final class Scene implements AutoCloseable {
@@ -47,8 +52,15 @@
         }
     }
 
-    /** Bytes to send, and whether the connection stays; null bytes are silence. */
-    record Reply(String bytes, boolean stays) { }
+    /** Bytes to send, and whether the connection stays; null bytes are silence. More bytes may follow once they are there. */
+    record Reply(String bytes, boolean stays, Supplier<String> more) {
+        Reply(String bytes, boolean stays) {
+            this(bytes, stays, () -> "");
+        }
+    }
+
+    /** Where readers' answers wait: whether one has been asked, and the word to answer. */
+    record Gate(CountDownLatch asked, CountDownLatch open) { }
 
     Scene(Path folder) throws Exception {
         discovery = new Actor(this::list);
@@ -149,6 +161,63 @@
         return client;
     }
 
+    /** The next answer there is a whole stream; gives its bytes. */
+    static String served(RawClient client) throws IOException {
+        String answer = client.until("0\r\n\r\n");
+        assertNotNull(answer, "the connection ended before its answer");
+        assertTrue(answer.startsWith("HTTP/1.1 200 "), answer);
+        return answer;
+    }
+
+    static void await(CountDownLatch latch) {
+        try {
+            assertTrue(latch.await(8, TimeUnit.SECONDS));
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Readers' answers wait until the gate is opened. */
+    Gate gateReads() {
+        Gate gate = new Gate(new CountDownLatch(1), new CountDownLatch(1));
+        reader.script = seen -> {
+            gate.asked.countDown();
+            await(gate.open);
+            return new Reply(read(0), true);
+        };
+        return gate;
+    }
+
+    /** A client whose request a reader has and does not answer before the gate is opened. */
+    RawClient held(Gate gate, String id) throws IOException {
+        RawClient client = client();
+        client.send(ask(id, ""));
+        await(gate.asked);
+        return client;
+    }
+
+    /**
+     * Keeps the node's loop from doing anything until the latch is counted down; returns once it is held. What comes to
+     * the node's sockets meanwhile is there, in its order, when the loop goes on.
+     */
+    CountDownLatch holdLoop() {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch goOn = new CountDownLatch(1);
+        node.loop().execute(() -> {
+            held.countDown();
+            await(goOn);
+        });
+        await(held);
+        return goOn;
+    }
+
+    /** Returns once the node has read what its sockets held, and has done what followed from it. */
+    void settled() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            node.connections();
+        }
+    }
+
     @Override
     public void close() throws Exception {
         for (AutoCloseable one : opened) {
@@ -230,11 +299,16 @@
         private final ServerSocket server;
         private final List<Socket> sockets = new CopyOnWriteArrayList<>();
         private final AtomicInteger connections = new AtomicInteger();
+        private final AtomicInteger answering = new AtomicInteger();
 
         Actor(Function<Seen, Reply> script) {
+            this(script, 0);
+        }
+
+        Actor(Function<Seen, Reply> script, int port) {
             this.script = script;
             try {
-                server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+                server = new ServerSocket(port, 200, InetAddress.getLoopbackAddress());
             } catch (IOException e) {
                 throw new IllegalStateException(e);
             }
@@ -279,13 +353,16 @@
                     String body = new String(in.readNBytes(size == null ? 0 : Integer.parseInt(size)),
                             StandardCharsets.ISO_8859_1);
                     Seen one = new Seen(first[0], first[1], head, body, number);
+                    answering.incrementAndGet();
                     seen.add(one);
                     Reply reply = silent ? new Reply(null, true) : first[0].equals("DELETE")
                             ? new Reply("HTTP/1.1 204 No Content\r\n\r\n", true) : script.apply(one);
                     if (reply.bytes != null) {
                         socket.getOutputStream().write(reply.bytes.getBytes(StandardCharsets.ISO_8859_1));
                         socket.getOutputStream().flush();
+                        socket.getOutputStream().write(reply.more.get().getBytes(StandardCharsets.ISO_8859_1));
                     }
+                    answering.decrementAndGet();
                     if (!reply.stays) {
                         return;
                     }
@@ -310,6 +387,18 @@
             return all.toString(StandardCharsets.ISO_8859_1);
         }
 
+        /** Attempts that came here. */
+        long posts() {
+            return seen.stream().filter(one -> one.method.equals("POST")).count();
+        }
+
+        /** Returns once every answer that was begun here has been written. */
+        void settled() {
+            while (answering.get() > 0) {
+                Thread.onSpinWait();
+            }
+        }
+
         /** The next request of a method that came here, waited for. */
         Seen next(String method) throws InterruptedException {
             while (true) {
