Rename: discovery client, discovery call, update; close, half-close and timeouts of client connections

Agent is DiscoveryClient, Conversation is Call, EndpointReader.Told is EndpointReader.Update; leave, hangUp, end, endIfServed and look of ClientConnection are closeGracefully, halfClose, closeNow, closeIfServed and checkTimeouts; Node.listed is endpointsChanged.

--- a/src/main/java/larchridge/node/Node.java
+++ b/src/main/java/larchridge/node/Node.java
@@ -21,7 +21,7 @@
 import larchridge.front.Front;
 import larchridge.inventory.Row;
 import larchridge.metrics.Meters;
-import larchridge.node.discovery.Agent;
+import larchridge.node.discovery.DiscoveryClient;
 import larchridge.node.discovery.EndpointReader;
 import larchridge.node.door.Door;
 import larchridge.node.door.DoorBounds;
@@ -78,7 +78,7 @@
     private PassageLink link;
     private Front front;
     private Door door;
-    private Agent agent;
+    private DiscoveryClient discoveryClient;
     /** Set on the loop; the thread that starts the node looks at it. */
     private volatile boolean ending;
 
@@ -204,9 +204,9 @@
         }
         long start = System.nanoTime();
         int served = Rehearsal.play(REHEARSED, REHEARSAL_MS);
-        // Danger: what was known at the start may be old, and what the agent has counts as told from the first moment on.
+        // What was known at the start may be old, and what the agent has counts as told from the first moment on.
         CountDownLatch told = new CountDownLatch(1);
-        loop.execute(() -> agent.whenTold(FIRST_LIST_MS, told::countDown));
+        loop.execute(() -> discoveryClient.whenFirstUpdated(FIRST_LIST_MS, told::countDown));
         told.await();
         loop.submit(door::ready).await();
         LOG.atInfo().addKeyValue("generations", served).addKeyValue("ms", (System.nanoTime() - start) / 1_000_000)
@@ -235,15 +235,15 @@
             door = new Door(group, buffers, ground, front, site, file.given.products.values(), new DoorBounds(
                     (int) (file.sockets * CLIENTS_PART), BODY_BYTES, bodies, REQUEST_MS, file.given.keepAliveMs, LINGER_MS));
             EndpointReader reader = new EndpointReader(file.given.roles, file.given.memory);
-            agent = new Agent(loop, buffers, ground, reader, file.given.drainGraceMs, this::listed);
+            discoveryClient = new DiscoveryClient(loop, buffers, ground, reader, file.given.drainGraceMs, this::endpointsChanged);
             if (file.known.isObject()) {
                 try {
-                    agent.take(reader.read(file.known));
+                    discoveryClient.take(reader.read(file.known));
                 } catch (EndpointReader.BadList e) {
                     LOG.atWarn().addKeyValue("fault", e.getMessage()).log("known can't be read; discovery is waited for");
                 }
             }
-            agent.follow(file.discovery.host(), file.discovery.port());
+            discoveryClient.follow(file.discovery.host(), file.discovery.port());
             if (LOG.isDebugEnabled()) {
                 ground.every(PICTURE_MS, () -> LOG.debug("{}", picture()));
             }
@@ -273,7 +273,7 @@
         return file.given.patienceMs.values().stream().mapToDouble(ms -> ms).max().orElse(0);
     }
 
-    private void listed(List<Row> rows) {
+    private void endpointsChanged(List<Row> rows) {
         List<Spot> spots = new ArrayList<>();
         rows.forEach(row -> spots.add(new Spot(row.host(), row.port())));
         link.engines(spots);
@@ -290,13 +290,13 @@
     }
 
     private void follow() {
-        if (agent == null) {
+        if (discoveryClient == null) {
             return;
         }
         try {
             NodeFile changed = NodeFile.read(variables);
             LOG.atInfo().addKeyValue("discovery", changed.discovery).log("configuration read again");
-            agent.follow(changed.discovery.host(), changed.discovery.port());
+            discoveryClient.follow(changed.discovery.host(), changed.discovery.port());
         } catch (BadNode e) {
             LOG.atError().addKeyValue("fault", e.getMessage()).log("the new configuration can't be used; all stays as it was");
         }
@@ -328,7 +328,7 @@
             door.shut();
             door.close();
             front.stop(() -> {
-                agent.stop();
+                discoveryClient.stop();
                 // Danger: the end of the process closes over what clients still send, and resets answers on their way.
                 door.close();
                 door.whenEmpty(ended::countDown);
--- a/src/main/java/larchridge/node/discovery/Agent.java
+++ b/src/main/java/larchridge/node/discovery/DiscoveryClient.java
@@ -35,8 +35,8 @@
  * The engine list as discovery's agent tells it: first the whole list, then watches, one directly behind the other. The
  * list that was told last stays while the agent is silent or what it says can't be read. All methods run on the loop.
  */
-public final class Agent {
-    private static final Logger LOG = LoggerFactory.getLogger(Agent.class);
+public final class DiscoveryClient {
+    private static final Logger LOG = LoggerFactory.getLogger(DiscoveryClient.class);
     private static final int LIST_BYTES = 4 << 20;
     /**
      * A watch waits so long, and is silent when nothing has come that much later. Danger: what a silent watch misses
@@ -60,38 +60,38 @@
     private final ByteBufAllocator buffers;
     private final Ground ground;
     private final EndpointReader reader;
-    private final Consumer<List<Row>> told;
+    private final Consumer<List<Row>> onChange;
     private final double againMostMs;
     private final Map<String, Row> rows = new LinkedHashMap<>();
     private String host;
     private int port;
     /** The oldest first. More than one only while the whole list is asked for. */
-    private final List<Conversation> open = new ArrayList<>();
+    private final List<Call> open = new ArrayList<>();
     private boolean stopped;
     private long index;
     /** Whether the next call asks for the whole list. */
     private boolean whole = true;
     private double againMs = AGAIN_FIRST_MS;
     /** Whether the agent has told a list since the start, and who waits for that. */
-    private boolean isTold;
-    private Runnable firstTold;
+    private boolean updated;
+    private Runnable firstUpdateWaiter;
 
     /**
      * @param graceMs how long an engine may still be sent to once it is told to drain
-     * @param told    is given the complete list after each change
+     * @param onChange is given the complete list after each change
      */
-    public Agent(EventLoop loop, ByteBufAllocator buffers, Ground ground, EndpointReader reader, double graceMs,
-                 Consumer<List<Row>> told) {
+    public DiscoveryClient(EventLoop loop, ByteBufAllocator buffers, Ground ground, EndpointReader reader, double graceMs,
+                 Consumer<List<Row>> onChange) {
         this.loop = loop;
         this.buffers = buffers;
         this.ground = ground;
         this.reader = reader;
-        this.told = told;
+        this.onChange = onChange;
         againMostMs = Math.max(AGAIN_LEAST_MS, graceMs * GRACE_PART);
     }
 
     /** Takes a list that was kept, and what comes on a watch. */
-    public void take(EndpointReader.Told list) {
+    public void take(EndpointReader.Update list) {
         if (list.whole()) {
             rows.clear();
         }
@@ -104,20 +104,20 @@
         });
         index = list.index();
         if (list.whole() || !list.rows().isEmpty()) {
-            told.accept(new ArrayList<>(rows.values()));
+            onChange.accept(new ArrayList<>(rows.values()));
         }
     }
 
     /** Runs once the agent has told a list of its own, or when so long has passed without one. */
-    public void whenTold(double mostMs, Runnable then) {
+    public void whenFirstUpdated(double mostMs, Runnable then) {
         Runnable waiting = () -> {
-            if (firstTold != null) {
-                firstTold = null;
+            if (firstUpdateWaiter != null) {
+                firstUpdateWaiter = null;
                 then.run();
             }
         };
-        firstTold = waiting;
-        if (isTold) {
+        firstUpdateWaiter = waiting;
+        if (updated) {
             waiting.run();
         } else {
             ground.in(mostMs, waiting);
@@ -130,35 +130,35 @@
         port = toPort;
         whole = true;
         againMs = AGAIN_FIRST_MS;
-        leaveAll();
-        talk();
+        abandonAll();
+        openCall();
     }
 
     public void stop() {
         stopped = true;
-        leaveAll();
+        abandonAll();
     }
 
-    private void leaveAll() {
-        List.copyOf(open).forEach(Conversation::leave);
+    private void abandonAll() {
+        List.copyOf(open).forEach(Call::abandon);
     }
 
-    private void talk() {
+    private void openCall() {
         if (stopped) {
             return;
         }
         if (open.size() >= OPEN_MOST) {
-            open.get(0).leave();
+            open.get(0).abandon();
         }
-        Conversation next = new Conversation();
+        Call next = new Call();
         open.add(next);
         next.open();
     }
 
     /** One connection to the agent. */
-    private final class Conversation extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Call extends SimpleChannelInboundHandler<FullHttpResponse> {
         private Channel channel;
-        private boolean left;
+        private boolean abandoned;
         private long timer = -1;
 
         void open() {
@@ -169,12 +169,12 @@
                         @Override
                         protected void initChannel(Channel own) {
                             own.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LIST_BYTES),
-                                    Conversation.this);
+                                    Call.this);
                         }
                     }).connect(host, port);
             channel = opening.channel();
             opening.addListener(done -> {
-                if (done.isSuccess() && !left) {
+                if (done.isSuccess() && !abandoned) {
                     ask();
                 } else {
                     failed("no connection");
@@ -183,8 +183,8 @@
             // Danger: an agent that was silent may never answer what it was asked meanwhile, and once it speaks again
             // what it has counts as told at once. The call stays open beside the next: it may come in slow pieces.
             ground.in(againMostMs, () -> {
-                if (!left && whole && open.get(open.size() - 1) == this) {
-                    talk();
+                if (!abandoned && whole && open.get(open.size() - 1) == this) {
+                    openCall();
                 }
             });
         }
@@ -203,7 +203,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            if (left) {
+            if (abandoned) {
                 return;
             }
             stopTimer();
@@ -212,7 +212,7 @@
                 return;
             }
             try {
-                EndpointReader.Told list = reader.read(ByteBufUtil.getBytes(response.content()));
+                EndpointReader.Update list = reader.read(ByteBufUtil.getBytes(response.content()));
                 if (whole && !list.whole()) {
                     failed("changes where the whole list was asked for");
                     return;
@@ -222,13 +222,13 @@
                     failed("an older list");
                     return;
                 }
-                List.copyOf(open).stream().filter(other -> other != this).forEach(Conversation::leave);
+                List.copyOf(open).stream().filter(other -> other != this).forEach(Call::abandon);
                 take(list);
                 whole = false;
                 againMs = AGAIN_FIRST_MS;
-                isTold = true;
-                if (firstTold != null) {
-                    firstTold.run();
+                updated = true;
+                if (firstUpdateWaiter != null) {
+                    firstUpdateWaiter.run();
                 }
             } catch (EndpointReader.BadList e) {
                 LOG.atWarn().addKeyValue("fault", e.getMessage()).log("a list from discovery can't be read; the last one stays");
@@ -245,10 +245,10 @@
         }
 
         private void failed(String why) {
-            if (left) {
+            if (abandoned) {
                 return;
             }
-            leave();
+            abandon();
             LOG.atDebug().addKeyValue("why", why).log("discovery is asked again");
             double wait = againMs;
             againMs = Math.min(againMostMs, 2 * againMs);
@@ -256,13 +256,13 @@
             whole = true;
             ground.in(wait, () -> {
                 if (open.isEmpty()) {
-                    talk();
+                    openCall();
                 }
             });
         }
 
-        void leave() {
-            left = true;
+        void abandon() {
+            abandoned = true;
             open.remove(this);
             stopTimer();
             channel.close();
--- a/src/main/java/larchridge/node/discovery/EndpointReader.java
+++ b/src/main/java/larchridge/node/discovery/EndpointReader.java
@@ -24,7 +24,7 @@
     }
 
     /** A list: all there is, or what has changed. Rows are by name; those that are gone bear that mode. */
-    public record Told(long index, boolean whole, Map<String, Row> rows) { }
+    public record Update(long index, boolean whole, Map<String, Row> rows) { }
 
     /** A list that can't be used. */
     public static final class BadList extends Exception {
@@ -35,7 +35,7 @@
         }
     }
 
-    public Told read(byte[] body) throws BadList {
+    public Update read(byte[] body) throws BadList {
         try {
             return read(MAPPER.readTree(body));
         } catch (IOException e) {
@@ -43,7 +43,7 @@
         }
     }
 
-    public Told read(JsonNode node) throws BadList {
+    public Update read(JsonNode node) throws BadList {
         if (node == null || !node.path("index").isIntegralNumber()) {
             throw new BadList("index is missing; expected a whole number");
         }
@@ -60,7 +60,7 @@
             rows.put(name, row(entry, name, "endpoints[" + i + "]"));
             i++;
         }
-        return new Told(node.path("index").longValue(), node.path("snapshot").asBoolean(false), rows);
+        return new Update(node.path("index").longValue(), node.path("snapshot").asBoolean(false), rows);
     }
 
     private Row row(JsonNode entry, String name, String where) throws BadList {
--- a/src/main/java/larchridge/node/door/ClientConnection.java
+++ b/src/main/java/larchridge/node/door/ClientConnection.java
@@ -305,7 +305,7 @@
         if (last || isLastAnswer()) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             channel.writeAndFlush(response);
-            hangUp();
+            halfClose();
         } else {
             channel.writeAndFlush(response);
             rest();
@@ -330,7 +330,7 @@
             }
         }
         if (exchange == null && !over && (overrun || isLastAnswer())) {
-            leave();
+            closeGracefully();
         }
     }
 
@@ -352,7 +352,7 @@
     // ------------------------------------------------------------------ the connection
 
     /** The regular look: a request that does not come, or not to its end, and a rest that is too long. */
-    void look(double now) {
+    void checkTimeouts(double now) {
         if (now - endedMs > door.bounds.lingerMs()) {
             channel.close();
         }
@@ -365,7 +365,7 @@
                 || head == null && receiving && now - Math.max(requestStartedMs, idleSinceMs) > door.bounds.requestMs()) {
             refuse(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time");
         } else if (head == null && !receiving && now - idleSinceMs > door.bounds.idleMs()) {
-            leave();
+            closeGracefully();
         }
     }
 
@@ -373,20 +373,20 @@
      * The process is to end: ends the connection if it has been served and rests. One that has not been asked on yet is
      * kept for its first request, within the bound on that: closed now, its client would lose the request under way.
      */
-    void endIfServed() {
+    void closeIfServed() {
         if (served && !hasLeft() && !over && exchange == null && !decoder.isReceiving()) {
-            leave();
+            closeGracefully();
         }
     }
 
     /** Ends a connection without a request. */
-    void leave() {
+    void closeGracefully() {
         dropAll();
-        hangUp();
+        halfClose();
     }
 
     /** Ends a connection at once, whatever is unread. */
-    void end() {
+    void closeNow() {
         over = true;
         channel.close();
     }
@@ -395,7 +395,7 @@
      * Says that nothing more comes, reads on until the client has ended its side too, or for a while, and closes.
      * Danger: a close over bytes that were not read resets the connection, and the answer before it may go with them.
      */
-    private void hangUp() {
+    private void halfClose() {
         over = true;
         if (!Double.isNaN(endedMs)) {
             return;
@@ -520,7 +520,7 @@
             }
             if (saidClose || isLastAnswer()) {
                 channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-                hangUp();
+                halfClose();
             } else {
                 channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
                 rest();
@@ -549,7 +549,7 @@
         public void cut() {
             if (finish()) {
                 // Without the last chunk, so that nobody takes it for whole.
-                hangUp();
+                halfClose();
             }
         }
     }
--- a/src/main/java/larchridge/node/door/Door.java
+++ b/src/main/java/larchridge/node/door/Door.java
@@ -27,7 +27,7 @@
  */
 public final class Door {
     private static final int IDS = 4096;
-    private static final double LOOK_MS = 200;
+    private static final double CHECK_MS = 200;
     private static final double EMPTY_LOOK_MS = 20;
 
     final Front front;
@@ -66,7 +66,7 @@
             offers.put(product.name, new Offer(product, product, product.name, Double.POSITIVE_INFINITY, 0,
                     Integer.MAX_VALUE, null));
         }
-        ground.every(LOOK_MS, this::look);
+        ground.every(CHECK_MS, this::checkTimeouts);
     }
 
     /** Listens; fails if the address can't be had. Not to be called on the loop. */
@@ -107,7 +107,7 @@
     /** Says that no more is wanted, still takes what comes, and keeps no connection that was served and rests. */
     public void close() {
         closing = true;
-        List.copyOf(idle).forEach(ClientConnection::endIfServed);
+        List.copyOf(idle).forEach(ClientConnection::closeIfServed);
     }
 
     boolean isClosing() {
@@ -160,7 +160,7 @@
             if (!some.isEmpty()) {
                 ClientConnection client = some.iterator().next();
                 left(client);
-                client.end();
+                client.closeNow();
                 return;
             }
         }
@@ -206,10 +206,10 @@
         all.remove(client);
     }
 
-    private void look() {
+    private void checkTimeouts() {
         double now = ground.nowMs();
         for (ClientConnection client : List.copyOf(all)) {
-            client.look(now);
+            client.checkTimeouts(now);
         }
     }
 
