Equal writers are told apart by chance, so that fronts that see little don't all take the first

That site has no load reports and no probes, and 101 nodes with some 25 requests each in 20 s. Ruled out: processor time (2.4 s a node, untold 0.0), streams held up (0 of 3,321), reads (refused and late begin after them).

Cause: Choice.pickWriter ends in Collections.min over the writers in the list's order, alike at all fronts; without reports nearly all writers have the same own streams, so that every front's first answers in a rack go to the rack's first writer. Mend: the fit writers are shuffled by the module's seeded Random before they are compared; what is known still decides first.

Test without the bench: 120 fronts over four equal writers (before: all 120 at one).

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -368,6 +368,9 @@
 
     private Engine pickWriter(Gen gen) {
         List<Engine> fit = fit(writers, gen);
+        // Equals are told apart by chance. Without reports most writers look alike to a front that sees little, and
+        // all fronts together would take the first of the list.
+        Collections.shuffle(fit, random);
         List<Engine> roomy = new ArrayList<>(fit);
         roomy.removeIf(e -> !hasRoom(e, gen));
         if (roomy.isEmpty()) {
--- a/src/test/java/larchridge/ChoiceTest.java
+++ b/src/test/java/larchridge/ChoiceTest.java
@@ -105,6 +105,28 @@
         assertTrue(attempts > 20 && attempts < 113, attempts + " attempts of 600");
     }
 
+    /** Each front has sent nothing yet and hears no report: to it, all writers of the rack are alike. */
+    @Test
+    void frontsThatSeeLittleSpreadTheirAnswersOverEqualWriters() {
+        int fronts = 120;
+        int[] answers = new int[4];
+        for (int front = 0; front < fronts; front++) {
+            stage.terms.fronts = fronts;
+            stage.terms.seed = front;
+            stage.terms.mayProbe = false;
+            stage.start();
+            Engine[] fleet = stage.fleet(1, answers.length);
+            stage.choice.arrived(stage.gen("g"));
+            stage.choice.readDone(stage.last(), 0, null, false);
+            for (int i = 0; i < answers.length; i++) {
+                answers[i] += stage.last().engine == fleet[1 + i] ? 1 : 0;
+            }
+        }
+        for (int taken : answers) {
+            assertTrue(taken > 15 && taken < 50, taken + " of " + fronts + " answers at one of four equal writers");
+        }
+    }
+
     @Test
     void finalAnswerComesBeforeTheTimeLimit() {
         stage.fleet(1, 1);
