One fixture for the tests that play a node between scripted peers

The folder, the scene and its opening and closing stood alike in NodeTest, ShutdownTest, ClientCloseTest and DiscoveryTest; they are in SceneTest now. No assertion changed.

--- a/src/test/java/larchridge/node/ClientCloseTest.java
+++ b/src/test/java/larchridge/node/ClientCloseTest.java
@@ -3,34 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import larchridge.node.Scene.Reply;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /** Clients that close at the worst moment: no attempt begins for them, and what was read for them is released. */
 @Timeout(30)
-class ClientCloseTest {
-    @TempDir
-    Path folder;
-    private Scene scene;
-
-    @BeforeEach
-    void open() throws Exception {
-        scene = new Scene(folder);
-    }
-
-    @AfterEach
-    void close() throws Exception {
-        scene.close();
-    }
-
+class ClientCloseTest extends SceneTest {
     /** Closes with a FIN, or with a reset that drops what the peer has not read. */
     private static void close(Scene.RawClient client, boolean resets) throws Exception {
         if (resets) {
--- a/src/test/java/larchridge/node/DiscoveryTest.java
+++ b/src/test/java/larchridge/node/DiscoveryTest.java
@@ -5,41 +5,23 @@
 
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import larchridge.node.Scene.Reply;
 import larchridge.node.Scene.Seen;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Calls to discovery that break, fall silent, come late or tell old things; judged by where requests go. */
 @Timeout(30)
-class DiscoveryTest {
+class DiscoveryTest extends SceneTest {
     /** What was missed has to act 6 s after a watch fell silent; a connection that does not come up, and a retry, fit in too. */
     private static final double ASKED_AGAIN_MS = 4000;
 
-    @TempDir
-    Path folder;
-    private Scene scene;
-
-    @BeforeEach
-    void open() throws Exception {
-        scene = new Scene(folder);
-    }
-
-    @AfterEach
-    void close() throws Exception {
-        scene.close();
-    }
-
     private static boolean isWatch(Seen seen) {
         return seen.target().contains("after=");
     }
--- a/src/test/java/larchridge/node/NodeTest.java
+++ b/src/test/java/larchridge/node/NodeTest.java
@@ -20,29 +20,12 @@
 import java.util.function.Function;
 import larchridge.node.Scene.Reply;
 import larchridge.node.Scene.Seen;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /** A node between raw sockets; judged from the bytes that engines and clients saw. */
 @Timeout(30)
-class NodeTest {
-    @TempDir
-    Path folder;
-    private Scene scene;
-
-    @BeforeEach
-    void open() throws Exception {
-        scene = new Scene(folder);
-    }
-
-    @AfterEach
-    void close() throws Exception {
-        scene.close();
-    }
-
+class NodeTest extends SceneTest {
     private static String events(String answer) {
         StringBuilder all = new StringBuilder();
         int at = answer.indexOf("\r\n\r\n") + 4;
--- a/src/test/java/larchridge/node/ShutdownTest.java
+++ b/src/test/java/larchridge/node/ShutdownTest.java
@@ -3,33 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import larchridge.node.Scene.Reply;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /** What is on its way when a node is told to end: connections, requests in parts, streams, releases. */
 @Timeout(30)
-class ShutdownTest {
-    @TempDir
-    Path folder;
-    private Scene scene;
-
-    @BeforeEach
-    void open() throws Exception {
-        scene = new Scene(folder);
-    }
-
-    @AfterEach
-    void close() throws Exception {
-        scene.close();
-    }
-
+class ShutdownTest extends SceneTest {
     private void tellToEnd() throws Exception {
         scene.node.end();
         scene.settled();
