--- /dev/null
+++ b/src/test/java/larchridge/node/DescriptorExhaustionTest.java
@@ -0,0 +1,85 @@
+package larchridge.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import larchridge.node.Scene.Reply;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A node in a process of its own that may open fewer descriptors than it was promised, so that its system calls fail. */
+@Timeout(60)
+class DescriptorExhaustionTest {
+    private static final int DESCRIPTORS = 250;
+    private static final int CLIENTS = 300;
+    private static final long EXHAUSTED_MS = 1500;
+    private static final double RECOVERED_WITHIN_MS = 1000;
+
+    @TempDir
+    Path folder;
+    private NodeProcess node;
+
+    @BeforeEach
+    void start() throws Exception {
+        node = new NodeProcess(folder, DESCRIPTORS);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        node.close();
+    }
+
+    private List<Socket> connectAll() throws IOException {
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            clients.add(new Socket(InetAddress.getLoopbackAddress(), node.port));
+        }
+        return clients;
+    }
+
+    private static void closeAll(List<Socket> clients) throws IOException {
+        for (Socket client : clients) {
+            client.close();
+        }
+    }
+
+    /** Each call to discovery fails at the socket call; once there are descriptors again the list has to be followed. */
+    @Test
+    void discoveryIsAskedAgainOnceThereAreDescriptors() throws Exception {
+        List<Socket> clients = connectAll();
+        node.discovery.script = seen -> new Reply(null, false);
+        node.listChanged();
+        TimeUnit.MILLISECONDS.sleep(EXHAUSTED_MS);
+        node.discovery.script = node::list;
+        node.discovery.seen.clear();
+        closeAll(clients);
+        long free = System.nanoTime();
+        assertTrue(node.discovery.seen.poll(8, TimeUnit.SECONDS) != null, "discovery was never asked again");
+        double tookMs = (System.nanoTime() - free) / 1e6;
+        assertTrue(tookMs < RECOVERED_WITHIN_MS, "asked again after " + tookMs + " ms");
+    }
+
+    /** A call for a socket that fails says nothing about the engine, and there is time to try again. */
+    @Test
+    void requestIsServedWhoseAttemptsFindNoDescriptorForAMoment() throws Exception {
+        Scene.RawClient client = new Scene.RawClient(node.port);
+        List<Socket> clients = connectAll();
+        TimeUnit.MILLISECONDS.sleep(200);
+        client.send(Scene.ask(Scene.id(), ""));
+        TimeUnit.MILLISECONDS.sleep(500);
+        closeAll(clients);
+        Scene.served(client);
+        assertEquals(1, node.writer.posts());
+        client.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/larchridge/node/NodeProcess.java
@@ -0,0 +1,104 @@
+package larchridge.node;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import larchridge.node.Scene.Actor;
+import larchridge.node.Scene.Reply;
+import larchridge.node.Scene.Seen;
+
+/** A node in a process of its own, between scripted engines and a scripted discovery agent in this one. */
+final class NodeProcess implements AutoCloseable {
+    private static final long START_NANOS = 30_000_000_000L;
+    /** Far more descriptors than the process gets, so that the node's own bounds are not what stops it. */
+    private static final int PROMISED_DESCRIPTORS = 1000;
+
+    final Actor reader = new Actor(seen -> new Reply(Scene.read(0), true));
+    final Actor writer = new Actor(seen -> new Reply(Scene.GOOD + Scene.chunk(Scene.EVENT + Scene.END) + "0\r\n\r\n", true));
+    final Actor discovery = new Actor(this::list);
+    final int port;
+    final Process process;
+    private final Path log;
+    private final AtomicInteger index = new AtomicInteger(1);
+
+    NodeProcess(Path folder, int descriptors) throws IOException, InterruptedException {
+        port = freePort();
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, "{\"name\":\"n1\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:"
+                + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":256,\"sockets\":"
+                + PROMISED_DESCRIPTORS + "},\"known\":" + wholeList() + ",\"settings\":" + Scene.SETTINGS + "}");
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        ProcessBuilder builder = new ProcessBuilder("sh", "-c", "ulimit -n " + descriptors + "; exec \"$0\" \"$@\"", java,
+                "-Xmx96m", "-cp", System.getProperty("java.class.path"), "larchridge.cli.Main", "node");
+        builder.environment().put("PROXY_CONFIG", config.toString());
+        log = folder.resolve("node.log");
+        process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+        awaitReady();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private void awaitReady() throws IOException, InterruptedException {
+        long end = System.nanoTime() + START_NANOS;
+        while (System.nanoTime() < end) {
+            try (Scene.RawClient client = new Scene.RawClient(port)) {
+                client.send(Scene.UP);
+                String answer = client.answer();
+                if (answer.startsWith("HTTP/1.1 200 ")) {
+                    return;
+                }
+            } catch (IOException e) {
+                if (!process.isAlive()) {
+                    throw new IOException("the node ended at its start: " + Files.readString(log), e);
+                }
+            }
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        throw new IOException("the node is not ready");
+    }
+
+    private String wholeList() {
+        return "{\"index\":" + index + ",\"snapshot\":true,\"endpoints\":["
+                + Scene.row("r1", reader.port(), "lectura", "SERVING", 0) + ","
+                + Scene.row("w1", writer.port(), "redaccion", "SERVING", 0) + "]}";
+    }
+
+    /** What the agent answers: the whole list at once, a watch once something has changed or its wait is over. */
+    Reply list(Seen seen) {
+        int after = seen.target().contains("after=") ? Integer.parseInt(seen.target().replaceAll(".*after=(\\d+).*", "$1")) : 0;
+        synchronized (index) {
+            long end = System.nanoTime() + 300_000_000L;
+            while (index.get() <= after && System.nanoTime() < end) {
+                try {
+                    index.wait(50);
+                } catch (InterruptedException e) {
+                    return new Reply(null, false);
+                }
+            }
+        }
+        return new Reply(Scene.answer("200 OK", wholeList()), true);
+    }
+
+    void listChanged() {
+        synchronized (index) {
+            index.incrementAndGet();
+            index.notifyAll();
+        }
+    }
+
+    @Override
+    public void close() throws IOException, InterruptedException {
+        process.destroyForcibly().waitFor();
+        reader.close();
+        writer.close();
+        discovery.close();
+    }
+}
