Held states are released in time behind silent connections; local socket faults blame no engine

Cause: PassageLink.settle sent a release only with no attempt out, and an attempt counts as out from the moment it is decided; one on a connection that came up late or fell silent never arrives and tells nothing. Ruled out: the release's own way (its tries were not begun). Socket calls. Bootstrap.connect completes on a thread of Netty's own where socket() fails, with a channel that can't be closed: state was changed off the loop. transport.Connecting tells the end on the loop; ConnectFailure tells the peer's failures from this machine's. A local one is NOT_SENT: no blame, no attempt used up, next try after 20 ms, doubling to 320. Before, five attempts went within 2 ms.

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -79,6 +79,9 @@
     private static final double MEMORY_PART = 0.8;
     private static final double ANSWER_EARLY_MS = 30;
     private static final double SWEEP_MS = 20;
+    // The pause after an attempt that could not be sent from here; it doubles up to the most.
+    private static final double NOT_SENT_MS = 20;
+    private static final double NOT_SENT_MOST_MS = 320;
     private static final double FOLLOW_AGAIN_MS = 500;
 
     private final Host host;
@@ -224,17 +227,28 @@
                 engine.fullUntilMs = host.now() + (engine.reports ? FULL_WITH_REPORTS_MS : FULL_MS);
             }
             case UNREACHABLE -> blame(engine);
+            case NOT_SENT -> pause(gen);
             default -> { }
         }
         if (gen.over || gen.begun || outcome == Outcome.NO_STATE) {
             letGo(gen);
         }
-        if (!gen.over && !gen.begun && !gen.waiting && gen.attemptsOut == 0) {
+        if (!gen.over && !gen.begun && !gen.waiting && gen.attemptsOut == 0 && host.now() >= gen.nextAttemptMs) {
             advance(gen);
         }
         admitWaiting();
     }
 
+    /**
+     * An attempt was not sent, and nothing is known against its engine. Danger: where this machine can't open a connection
+     * for a moment, a generation tried again at once would use up its attempts within a millisecond and be given up.
+     */
+    private void pause(Gen gen) {
+        double ms = NOT_SENT_MS * Math.pow(2, gen.attemptsNotSent);
+        gen.attemptsNotSent++;
+        gen.nextAttemptMs = host.now() + Math.min(NOT_SENT_MOST_MS, ms);
+    }
+
     public void departed(Gen gen) {
         gen.over = true;
         gen.waiting = false;
@@ -268,11 +282,15 @@
             host.followList();
         }
         open.removeIf(gen -> gen.over && gen.attemptsOut == 0);
-        for (int i = 0; i < open.size(); i++) {
-            look(open.get(i), now);
+        try {
+            for (int i = 0; i < open.size(); i++) {
+                look(open.get(i), now);
+            }
+            admitWaiting();
+        } finally {
+            // Danger: without it a fault at one generation would end the regular look at all others.
+            setWake();
         }
-        admitWaiting();
-        setWake();
     }
 
     // ------------------------------------------------------------------ the ordinary path
@@ -290,7 +308,7 @@
             letGo(gen);
         }
         if (gen.state == null) {
-            if (gen.attempts.size() + 2 > maxAttempts) {
+            if (gen.attemptsSent() + 2 > maxAttempts) {
                 giveUp(gen);
                 return;
             }
@@ -302,7 +320,7 @@
             }
             sendRead(gen, reader);
         } else {
-            Engine writer = gen.attempts.size() < maxAttempts ? pickWriter(gen) : null;
+            Engine writer = gen.attemptsSent() < maxAttempts ? pickWriter(gen) : null;
             if (writer == null) {
                 giveUp(gen);
                 return;
@@ -570,10 +588,10 @@
         }
         if (now >= gen.limitMs - ANSWER_EARLY_MS) {
             giveUp(gen);
-        } else if (gen.attemptsOut == 0 && !gen.waiting) {
+        } else if (gen.attemptsOut == 0 && !gen.waiting && now >= gen.nextAttemptMs) {
             advance(gen);
         } else if (gen.attemptsOut > 0 && gen.product.effect == Effect.IDEMPOTENT && mayCancel
-                && maySendCopies && gen.attempts.size() + (gen.state == null ? 2 : 1) <= maxAttempts) {
+                && maySendCopies && gen.attemptsSent() + (gen.state == null ? 2 : 1) <= maxAttempts) {
             Attempt attempt = gen.attempts.get(gen.attempts.size() - 1);
             double silentMs = now - Math.max(attempt.engine.heardMs, attempt.sentMs);
             if (attempt.out && !attempt.cancelled && silentMs > attempt.patienceMs) {
--- a/src/main/java/larchridge/node/Node.java
+++ b/src/main/java/larchridge/node/Node.java
@@ -168,8 +168,8 @@
     }
 
     /** Requests that the engines' side still knows; on any thread, as of a moment. */
-    int openTales() throws InterruptedException, ExecutionException {
-        return loop.submit(link::openTales).get();
+    int openRequests() throws InterruptedException, ExecutionException {
+        return loop.submit(link::openRequests).get();
     }
 
     /** Attempts out by the module's count, or -1 if the link's count differs at any engine. */
@@ -258,7 +258,7 @@
         StringBuilder text = new StringBuilder(200);
         double now = ground.nowMs();
         text.append("open ").append(front.openGenerations()).append(" clients ").append(door.connections())
-                .append(" known ").append(link.openTales());
+                .append(" known ").append(link.openRequests());
         front.engines((spot, engine) -> {
             text.append("; ").append(Long.toHexString(engine.label >>> 48)).append(' ').append(engine.role).append(' ')
                     .append(engine.mode).append(engine.suspectUntilMs > now ? " suspect" : "")
--- a/src/main/java/larchridge/node/link/Call.java
+++ b/src/main/java/larchridge/node/link/Call.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import larchridge.node.transport.ConnectFailure;
 
 /** One request on a connection and what comes back; called on the loop, never from inside the call that started it. */
 interface Call {
@@ -31,6 +32,9 @@
     /** What came can't be read. The connection is closed by the one that tells. */
     void garbled();
 
-    /** The connection broke, or never came up. The last call, as whole and garbled are. */
+    /** The connection broke. The last call, as whole and garbled are. */
     void broken();
+
+    /** The connection never came up; told later than the call that opened it. The last call too. */
+    void notConnected(ConnectFailure failure);
 }
--- a/src/main/java/larchridge/node/link/PassageLink.java
+++ b/src/main/java/larchridge/node/link/PassageLink.java
@@ -27,12 +27,11 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import larchridge.enginelink.Ending;
 import larchridge.enginelink.EngineLink;
@@ -42,10 +41,10 @@
 import larchridge.enginelink.Spot;
 import larchridge.enginelink.StateHandle;
 import larchridge.front.Ground;
+import larchridge.node.transport.ConnectFailure;
+import larchridge.node.transport.Connecting;
 import larchridge.state.Outcome;
 import larchridge.state.Report;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Engines that speak the clients' own protocol: requests go on as they came, events come back as they are. A read state
@@ -57,14 +56,10 @@
     private static final String LEFT = "Req-Deadline-Ms";
     private static final String LOAD = "Srv-Load";
     private static final String DECLINED = "Srv-Declined";
-    private static final Logger LOG = LoggerFactory.getLogger(PassageLink.class);
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int EVENT_BYTES = 1 << 16;
     private static final int HEAD_BYTES = 8192;
     private static final int BODY_BYTES = 4096;
-    private static final int TALES = 20_000;
-    /** A release is tried this many times within the time that a state may be held. */
-    private static final int RELEASE_TRIES = 5;
     private static final byte[] NOTHING = new byte[0];
     private static final Waiting WAITING = new Waiting();
 
@@ -73,30 +68,13 @@
     private final LoadText loads;
     private final Opener opener;
     private final Map<Spot, Pool> pools = new LinkedHashMap<>();
-    /** What is open of each request, by the client's id. */
-    private final Map<String, Tale> tales = new HashMap<>();
+    private final StateReleases releases;
     private List<Spot> spots = List.of();
     private int connections;
 
     /** A read state waits under the request's own id. */
     private static final class Waiting implements StateHandle { }
 
-    /** The attempts of one request that are out here, and whether a state of it is to be let go of. */
-    private static final class Tale {
-        final String id;
-        int out;
-        boolean begun;
-        boolean owed;
-        boolean releasing;
-        /** Where the release was sent so far. */
-        final Set<Spot> asked = new HashSet<>();
-        Spot holder;
-
-        Tale(String id) {
-            this.id = id;
-        }
-    }
-
     /** Opens a connection to a spot and puts the handlers into it. */
     public interface Opener {
         ChannelFuture open(Spot spot, ChannelInitializer<Channel> handlers);
@@ -112,6 +90,7 @@
         this.bounds = bounds;
         this.opener = opener;
         loads = new LoadText(bounds.reportFields());
+        releases = new StateReleases(ground, bounds.releaseMs(), new ReleaseTransport());
         ground.every(Math.max(100, bounds.keepAliveMs() / 20), this::closeOld);
     }
 
@@ -149,12 +128,12 @@
 
     @Override
     public boolean isReleasing() {
-        return tales.values().stream().anyMatch(tale -> tale.owed || tale.releasing);
+        return releases.isReleasing();
     }
 
     /** Requests with an attempt out or a state to let go of. */
-    public int openTales() {
-        return tales.size();
+    public int openRequests() {
+        return releases.openRequests();
     }
 
     // ------------------------------------------------------------------ connections
@@ -184,14 +163,8 @@
                         .addLast(new HttpRequestEncoder()).addLast(wire);
             }
         });
-        wire.opened(opening.channel());
-        opening.addListener(done -> {
-            if (done.isSuccess()) {
-                wire.start(call);
-            } else {
-                wire.end();
-            }
-        });
+        wire.opened(Connecting.channelOf(opening));
+        Connecting.whenDone(opening, ground, () -> wire.start(call), wire::notConnected);
         return wire;
     }
 
@@ -240,11 +213,10 @@
     }
 
     private Flight fly(Order order, Hearing hearing, boolean reads) {
-        Tale tale = tales.computeIfAbsent(order.passage().id(), Tale::new);
-        tale.out++;
+        HeldState held = releases.attemptStarted(order.passage().id());
         Pool pool = pool(order.spot());
         pool.attempts++;
-        Attempt attempt = new Attempt(order, hearing, reads, tale, pool);
+        Attempt attempt = new Attempt(order, hearing, reads, held, pool);
         attempt.wire = start(pool, attempt);
         if (attempt.wire == null) {
             attempt.verdict.unfit();
@@ -258,7 +230,7 @@
         private final Order order;
         private final Hearing hearing;
         private final boolean reads;
-        private final Tale tale;
+        private final HeldState state;
         private final Pool pool;
         private final Verdict verdict = new Verdict();
         private final EventCutter events = new EventCutter(EVENT_BYTES, LOAD);
@@ -269,11 +241,11 @@
         private Report report;
         private ByteArrayOutputStream note;
 
-        Attempt(Order order, Hearing hearing, boolean reads, Tale tale, Pool pool) {
+        Attempt(Order order, Hearing hearing, boolean reads, HeldState state, Pool pool) {
             this.order = order;
             this.hearing = hearing;
             this.reads = reads;
-            this.tale = tale;
+            this.state = state;
             this.pool = pool;
         }
 
@@ -326,7 +298,7 @@
             if (whole != null) {
                 if (!begun) {
                     begun = true;
-                    tale.begun = true;
+                    releases.answerBegan(state);
                     hearing.begun();
                 }
                 if (!over) {
@@ -347,9 +319,9 @@
                 JsonNode kept = keptNote();
                 if (kept != null) {
                     over = true;
-                    home();
+                    leavePool();
+                    releases.readEnded(state);
                     hearing.read(WAITING, kept.intValue(), 0, report);
-                    settle(tale);
                     return true;
                 }
                 verdict.garbled();
@@ -385,6 +357,14 @@
             endLater();
         }
 
+        @Override
+        public void notConnected(ConnectFailure failure) {
+            if (failure == ConnectFailure.LOCAL) {
+                verdict.unfit();
+            }
+            endLater();
+        }
+
         @Override
         public void cancel() {
             called(false);
@@ -438,13 +418,12 @@
             if (verdict.isUnusable()) {
                 hearing.unusable();
             }
-            home();
+            leavePool();
+            releases.attemptEnded(state, verdict.status() != 0);
             hearing.ended(verdict.outcome(), report, new Ending(Ending.Why.END_OF_TURN, null, -1, 0));
-            settle(tale);
         }
 
-        private void home() {
-            tale.out--;
+        private void leavePool() {
             pool.attempts--;
             if (verdict.status() != 0) {
                 pool.heardMs = ground.nowMs();
@@ -456,60 +435,21 @@
 
     @Override
     public void release(Spot spot, String rid) {
-        String id = rid.substring(0, rid.lastIndexOf('.'));
-        Tale tale = tales.get(id);
-        if (tale == null) {
-            if (tales.size() >= TALES) {
-                LOG.warn("too many releases under way; a state is left to its engine");
-                return;
-            }
-            tale = new Tale(id);
-            tales.put(id, tale);
-        }
-        tale.owed = true;
-        tale.holder = spot;
-        settle(tale);
+        releases.release(rid.substring(0, rid.lastIndexOf('.')), spot);
     }
 
-    /**
-     * Danger: a release names the whole request; sent while an attempt is out it would free the state that this attempt is to
-     * fetch. Once a stream has begun nothing is left to be fetched.
-     */
-    private void settle(Tale tale) {
-        ground.later(() -> {
-            if (tale.owed && !tale.releasing && (tale.out == 0 || tale.begun)) {
-                tale.owed = false;
-                tale.releasing = true;
-                tale.asked.clear();
-                letGo(tale);
-            } else if (tale.out == 0 && !tale.owed && !tale.releasing) {
-                tales.remove(tale.id, tale);
-            }
-        });
-    }
-
-    private void letGo(Tale tale) {
-        Spot spot = tale.asked.size() < 2 * RELEASE_TRIES ? nextSpot(tale) : null;
-        if (spot == null) {
-            LOG.atWarn().addKeyValue("id", tale.id).log("no engine took a release; the state is left to its engine");
-            released(tale);
-            return;
-        }
-        tale.asked.add(spot);
-        new Short(spot, HttpMethod.DELETE, "/v1/holds/" + tale.id, bounds.releaseMs() / RELEASE_TRIES, answer -> {
-            boolean mayFetch = tale.out > 0 && !tale.begun;
-            if (answer == null && !mayFetch) {
-                letGo(tale);
-            } else {
-                tale.owed |= answer == null;
-                released(tale);
-            }
-        }).go();
-    }
+    /** Releases go over the pools' connections. */
+    private final class ReleaseTransport implements StateReleases.Transport {
+        @Override
+        public void release(Spot spot, String requestId, double limitMs, Consumer<CallResult> told) {
+            new SmallCall(spot, HttpMethod.DELETE, "/v1/holds/" + requestId, limitMs,
+                    (result, call) -> told.accept(result)).go();
+        }
 
-    private void released(Tale tale) {
-        tale.releasing = false;
-        settle(tale);
+        @Override
+        public Spot next(Spot holder, Set<Spot> asked) {
+            return nextSpot(holder, asked);
+        }
     }
 
     /**
@@ -517,15 +457,15 @@
      * those heard from last before the rest. Danger: a connection that has to come up first may take all the time there
      * is, and where engines are cut off most of them are asked in vain.
      */
-    private Spot nextSpot(Tale tale) {
+    private Spot nextSpot(Spot holder, Set<Spot> asked) {
         Spot best = null;
         boolean bestRests = false;
         double bestMs = Double.NEGATIVE_INFINITY;
         for (Spot spot : spots) {
-            if (tale.asked.contains(spot)) {
+            if (asked.contains(spot)) {
                 continue;
             }
-            if (spot.equals(tale.holder)) {
+            if (spot.equals(holder)) {
                 return spot;
             }
             Pool pool = pools.get(spot);
@@ -544,19 +484,22 @@
 
     @Override
     public void probe(Spot spot, Told told) {
-        new Short(spot, HttpMethod.GET, "/metrics/load", bounds.connectMs(), answer -> {
-            boolean answered = answer != null && answer.status == 200;
-            // Danger: an engine that has no report yet answers without one; it is not to be taken for a dead one.
-            told.told(answered, answered ? loads.read(answer.text()) : null);
+        new SmallCall(spot, HttpMethod.GET, "/metrics/load", bounds.connectMs(), (result, call) -> {
+            if (result == CallResult.NOT_SENT) {
+                return;
+            }
+            boolean answered = result == CallResult.ANSWERED && call.status == 200;
+            // An engine that has no report yet answers without one; it is not to be taken for a dead one.
+            told.told(answered, answered ? loads.read(call.text()) : null);
         }).go();
     }
 
     /** A call without a body, with an answer that is small and a time limit. */
-    private final class Short implements Call {
+    private final class SmallCall implements Call {
         private final Spot spot;
         private final HttpMethod method;
         private final String target;
-        private final Consumer<Short> told;
+        private final BiConsumer<CallResult, SmallCall> told;
         private final double limitMs;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream(64);
         private int status;
@@ -564,7 +507,7 @@
         private boolean over;
         private long timer;
 
-        Short(Spot spot, HttpMethod method, String target, double limitMs, Consumer<Short> told) {
+        SmallCall(Spot spot, HttpMethod method, String target, double limitMs, BiConsumer<CallResult, SmallCall> told) {
             this.spot = spot;
             this.method = method;
             this.target = target;
@@ -577,11 +520,11 @@
                 if (!over && wire != null) {
                     wire.drop();
                 }
-                end(null);
+                end(CallResult.UNANSWERED);
             });
             wire = start(pool(spot), this);
             if (wire == null) {
-                ground.later(() -> end(null));
+                ground.later(() -> end(CallResult.NOT_SENT));
             }
         }
 
@@ -609,25 +552,30 @@
         @Override
         public boolean whole() {
             pool(spot).heardMs = ground.nowMs();
-            end(this);
+            end(CallResult.ANSWERED);
             return true;
         }
 
         @Override
         public void garbled() {
-            end(null);
+            end(CallResult.UNANSWERED);
         }
 
         @Override
         public void broken() {
-            ground.later(() -> end(null));
+            ground.later(() -> end(CallResult.UNANSWERED));
+        }
+
+        @Override
+        public void notConnected(ConnectFailure failure) {
+            end(failure == ConnectFailure.LOCAL ? CallResult.NOT_SENT : CallResult.UNANSWERED);
         }
 
-        private void end(Short answer) {
+        private void end(CallResult result) {
             if (!over) {
                 over = true;
                 ground.cancel(timer);
-                told.accept(answer);
+                told.accept(result, this);
             }
         }
     }
--- a/src/main/java/larchridge/node/link/Wire.java
+++ b/src/main/java/larchridge/node/link/Wire.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import larchridge.node.transport.ConnectFailure;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,6 +39,7 @@
         this.call = call;
     }
 
+    /** The channel of a connection that is coming up; null if there is none. */
     void opened(Channel own) {
         channel = own;
     }
@@ -175,17 +177,31 @@
         }
     }
 
-    /** The connection is no more, or never came up. */
-    void end() {
+    /** The connection is no more. */
+    private void end() {
+        Call ended = leave();
+        if (ended != null) {
+            ended.broken();
+        }
+    }
+
+    /** The connection never came up. */
+    void notConnected(ConnectFailure failure) {
+        Call ended = leave();
+        if (ended != null) {
+            ended.notConnected(failure);
+        }
+    }
+
+    /** Leaves the pool; gives the call that ends with the connection, or null. */
+    private Call leave() {
         if (gone) {
-            return;
+            return null;
         }
         gone = true;
         pool.lost(this);
         Call ended = resting ? null : call;
         call = null;
-        if (ended != null) {
-            ended.broken();
-        }
+        return ended;
     }
 }
--- /dev/null
+++ b/src/main/java/larchridge/node/transport/package-info.java
@@ -0,0 +1,2 @@
+/** What all outgoing connections of a node have in common. */
+package larchridge.node.transport;
--- a/src/main/java/larchridge/state/Gen.java
+++ b/src/main/java/larchridge/state/Gen.java
@@ -28,6 +28,9 @@
     /** Whether a state may be held for it anywhere. */
     public boolean held;
     public boolean waiting;
+    /** Attempts that this front could not send at all, and when the next one may be tried after the last of them. */
+    public int attemptsNotSent;
+    public double nextAttemptMs = Double.NEGATIVE_INFINITY;
     /** The readers whose load was asked for it, and when. */
     public final List<Engine> asked = new ArrayList<>(2);
     public double askedMs = Double.NEGATIVE_INFINITY;
@@ -56,6 +59,11 @@
         this.limitMs = limitMs;
     }
 
+    /** Attempts that count against the most that are allowed. */
+    public int attemptsSent() {
+        return attempts.size() - attemptsNotSent;
+    }
+
     public double sloAtMs() {
         return arrivedMs + product.sloMs + product.sloMsPerTok * promptToks;
     }
--- a/src/test/java/larchridge/node/ClientCloseTest.java
+++ b/src/test/java/larchridge/node/ClientCloseTest.java
@@ -135,7 +135,7 @@
             scene.settled();
             close(client, resets);
             assertTrue(!reached(scene.reader, id));
-            assertEquals(0, scene.node.openTales());
+            assertEquals(0, scene.node.openRequests());
         }
     }
 }
--- a/src/test/java/larchridge/node/HeldStateTest.java
+++ b/src/test/java/larchridge/node/HeldStateTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.concurrent.TimeUnit;
 import larchridge.node.Scene.Reply;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -28,4 +29,28 @@
         scene.reader.next("POST");
         assertReleasedInTime(id, System.nanoTime());
     }
+
+    /** The release that is sent in time frees nothing that a queued attempt waits for, so the attempt stays out. */
+    @Test
+    void attemptThatWaitsInItsEnginesQueueIsServedAfterTheReleaseOfItsState() throws Exception {
+        scene.writer.script = seen -> {
+            sleep(1500);
+            return new Reply(Scene.GOOD + Scene.chunk(Scene.EVENT + Scene.END) + "0\r\n\r\n", true);
+        };
+        String id = Scene.id();
+        Scene.RawClient client = scene.client();
+        client.send(Scene.ask(id, ""));
+        scene.reader.next("POST");
+        assertReleasedInTime(id, System.nanoTime());
+        Scene.served(client);
+        assertEquals(1, scene.writer.posts());
+    }
+
+    private static void sleep(long ms) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(ms);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
 }
--- a/src/test/java/larchridge/node/NodeTest.java
+++ b/src/test/java/larchridge/node/NodeTest.java
@@ -476,7 +476,7 @@
         for (Scene.RawClient client : unanswered) {
             assertNotNull(client.until("\r\n\r\n"));
         }
-        while (scene.node.openTales() > 0) {
+        while (scene.node.openRequests() > 0) {
             assertNotEquals(-1, scene.node.attemptsOut());
         }
         assertEquals(0, scene.node.attemptsOut());
@@ -491,7 +491,7 @@
             scene.reader.seen.clear();
             scene.writer.seen.clear();
         }
-        assertEquals(0, scene.node.openTales());
+        assertEquals(0, scene.node.openRequests());
     }
 
     @Test
--- a/src/test/java/larchridge/node/link/ReleaseTest.java
+++ b/src/test/java/larchridge/node/link/ReleaseTest.java
@@ -74,6 +74,6 @@
         link.release(spot(1), "9b1f03aa5c7e2d41.0");
         time.run(time.sinceMs() + 2000);
         assertEquals(List.of(spot(1), spot(0), spot(2)), tried);
-        assertEquals(0, link.openTales());
+        assertEquals(0, link.openRequests());
     }
 }
