Discovery after failed socket calls, start times under stepped clocks, accept after a failure

Cause of the deaf node: DiscoveryClient.Call.abandon closed a channel that belongs to no loop, which throws before the next call is scheduled.

--- a/src/main/java/larchridge/inventory/Row.java
+++ b/src/main/java/larchridge/inventory/Row.java
@@ -11,4 +11,14 @@
  * @param memoryToks its memory in tokens, or NaN where the list does not tell
  */
 public record Row(long id, String host, int port, Role role, String zone, long rack, double units,
-                  double memoryToks, double startMs, Mode mode) { }
+                  double memoryToks, double startMs, Mode mode) {
+    /** The same engine with another start time. */
+    public Row startedAt(double otherStartMs) {
+        return new Row(id, host, port, role, zone, rack, units, memoryToks, otherStartMs, mode);
+    }
+
+    /** The same engine in another mode. */
+    public Row inMode(Mode otherMode) {
+        return new Row(id, host, port, role, zone, rack, units, memoryToks, startMs, otherMode);
+    }
+}
--- a/src/main/java/larchridge/node/LoopGround.java
+++ b/src/main/java/larchridge/node/LoopGround.java
@@ -55,7 +55,8 @@
 
     @Override
     public void every(double ms, Runnable step) {
-        loop.scheduleAtFixedRate(() -> safely(step), (long) (ms * 1e6), (long) (ms * 1e6), TimeUnit.NANOSECONDS);
+        // A process that was stopped for a while does not make up for the turns it has missed.
+        loop.scheduleWithFixedDelay(() -> safely(step), (long) (ms * 1e6), (long) (ms * 1e6), TimeUnit.NANOSECONDS);
     }
 
     @Override
@@ -63,11 +64,11 @@
         return stem;
     }
 
-    /** Danger: a step that throws would end its timer for good, and an error of memory the process's work. */
+    /** Danger: a step that throws would end its timer for good, and an error the process's work. */
     private static void safely(Runnable step) {
         try {
             step.run();
-        } catch (RuntimeException | OutOfMemoryError e) {
+        } catch (RuntimeException | Error e) {
             LOG.error("a step on the loop failed", e);
         }
     }
--- a/src/main/java/larchridge/node/discovery/DiscoveryClient.java
+++ b/src/main/java/larchridge/node/discovery/DiscoveryClient.java
@@ -27,6 +27,7 @@
 import java.util.function.Consumer;
 import larchridge.front.Ground;
 import larchridge.inventory.Row;
+import larchridge.node.transport.Connecting;
 import larchridge.state.Mode;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -45,6 +46,7 @@
      */
     private static final int WAIT_MS = 2000;
     private static final double SILENT_MS = 1000;
+    private static final long NO_TIMER = -1;
     private static final double AGAIN_FIRST_MS = 50;
     /**
      * An agent that has the list answers at once; silence for this part of the grace of a drain is taken for none. The
@@ -55,6 +57,13 @@
     private static final double AGAIN_LEAST_MS = 20;
     /** As many calls for the whole list may be open at a time; then the oldest is ended. */
     private static final int OPEN_MOST = 16;
+    /** Of these, as many may be receiving their answers: each may take the memory of a whole list. */
+    private static final int RECEIVING_MOST = 2;
+    /** An answer that keeps coming in pieces must have ended so long after it was asked for, beside a watch's wait. */
+    private static final double ANSWER_MOST_MS = 10_000;
+    private static final double WATCH_ANSWER_MOST_MS = 1500;
+    /** Watches are asked at most this often, also by one that is answered at once again and again. */
+    private static final double WATCH_GAP_MS = 20;
 
     private final EventLoop loop;
     private final ByteBufAllocator buffers;
@@ -63,6 +72,8 @@
     private final Consumer<List<Row>> onChange;
     private final double againMostMs;
     private final Map<String, Row> rows = new LinkedHashMap<>();
+    private final StartTimes startTimes;
+    private final DepartedEndpoints departed = new DepartedEndpoints();
     private String host;
     private int port;
     /** The oldest first. More than one only while the whole list is asked for. */
@@ -87,21 +98,28 @@
         this.ground = ground;
         this.reader = reader;
         this.onChange = onChange;
+        startTimes = new StartTimes(System::currentTimeMillis);
         againMostMs = Math.max(AGAIN_LEAST_MS, graceMs * GRACE_PART);
     }
 
     /** Takes a list that was kept, and what comes on a watch. */
     public void take(EndpointReader.Update list) {
+        Map<String, Row> before = new LinkedHashMap<>(rows);
         if (list.whole()) {
             rows.clear();
         }
+        double now = ground.nowMs();
         list.rows().forEach((name, row) -> {
             if (row.mode() == Mode.GONE) {
                 rows.remove(name);
             } else {
-                rows.put(name, row);
+                rows.put(name, departed.keep(name, row.startedAt(startTimes.of(name, row.startMs(), now)), list.index()));
             }
         });
+        departed.note(before, rows, list.index());
+        if (updated) {
+            startTimes.confirmed(now);
+        }
         index = list.index();
         if (list.whole() || !list.rows().isEmpty()) {
             onChange.accept(new ArrayList<>(rows.values()));
@@ -157,9 +175,13 @@
 
     /** One connection to the agent. */
     private final class Call extends SimpleChannelInboundHandler<FullHttpResponse> {
+        /** Null where no socket could be had. */
         private Channel channel;
         private boolean abandoned;
-        private long timer = -1;
+        private boolean receiving;
+        private double askedMs;
+        private double progressMs;
+        private long timer = NO_TIMER;
 
         void open() {
             ChannelFuture opening = new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -168,25 +190,33 @@
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel own) {
-                            own.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LIST_BYTES),
-                                    Call.this);
+                            own.pipeline().addLast(new ProgressHandler(Call.this::progress), new HttpClientCodec(),
+                                    new HttpObjectAggregator(LIST_BYTES), Call.this);
                         }
                     }).connect(host, port);
-            channel = opening.channel();
-            opening.addListener(done -> {
-                if (done.isSuccess() && !abandoned) {
+            channel = Connecting.channelOf(opening);
+            Connecting.whenDone(opening, ground, () -> {
+                if (!abandoned) {
                     ask();
-                } else {
-                    failed("no connection");
                 }
-            });
-            // Danger: an agent that was silent may never answer what it was asked meanwhile, and once it speaks again
-            // what it has counts as told at once. The call stays open beside the next: it may come in slow pieces.
-            ground.in(againMostMs, () -> {
-                if (!abandoned && whole && open.get(open.size() - 1) == this) {
-                    openCall();
-                }
-            });
+            }, failure -> failed("no connection: " + failure));
+            ground.in(againMostMs, this::openAnother);
+        }
+
+        /**
+         * An agent that was silent may never answer what it was asked meanwhile, and once it speaks again what it has counts
+         * as told at once. So another call begins while this one stays open, since its answer may come in slow pieces.
+         */
+        private void openAnother() {
+            if (abandoned || !whole || open.get(open.size() - 1) != this) {
+                return;
+            }
+            double now = ground.nowMs();
+            if (receiving && now - progressMs < againMostMs && now - askedMs < SILENT_MS) {
+                ground.in(againMostMs, this::openAnother);
+            } else {
+                openCall();
+            }
         }
 
         private void ask() {
@@ -195,10 +225,37 @@
                     Unpooled.EMPTY_BUFFER);
             request.headers().set(HttpHeaderNames.HOST, host + ":" + port);
             channel.writeAndFlush(request);
-            timer = ground.in(SILENT_MS + (whole ? 0 : WAIT_MS), () -> {
-                timer = -1;
-                failed("silent");
-            });
+            askedMs = ground.nowMs();
+            receiving = false;
+            startTimer(SILENT_MS + (whole ? 0 : WAIT_MS));
+        }
+
+        /** Some bytes of an answer have come. */
+        private void progress() {
+            if (abandoned) {
+                return;
+            }
+            progressMs = ground.nowMs();
+            if (!receiving && !mayReceive()) {
+                abandon();
+                return;
+            }
+            double mostMs = whole ? ANSWER_MOST_MS : WAIT_MS + WATCH_ANSWER_MOST_MS;
+            startTimer(Math.min(SILENT_MS, askedMs + mostMs - progressMs));
+        }
+
+        /**
+         * An agent that comes back may answer all calls at once: the first ones are received, the others are given up. Those
+         * that have come in part stay, since a list that always comes in slow pieces would else never be whole.
+         */
+        private boolean mayReceive() {
+            List<Call> others = open.stream().filter(other -> other != this).toList();
+            if (others.stream().filter(other -> other.receiving).count() >= RECEIVING_MOST) {
+                return false;
+            }
+            others.stream().filter(other -> !other.receiving).forEach(Call::abandon);
+            receiving = true;
+            return true;
         }
 
         @Override
@@ -211,37 +268,55 @@
                 failed("answer " + response.status().code());
                 return;
             }
+            if (!takeAnswer(response)) {
+                return;
+            }
+            if (!HttpUtil.isKeepAlive(response)) {
+                failed("closed");
+                return;
+            }
+            double early = askedMs + WATCH_GAP_MS - ground.nowMs();
+            if (early > 0) {
+                ground.in(early, () -> {
+                    if (!abandoned) {
+                        ask();
+                    }
+                });
+            } else {
+                ask();
+            }
+        }
+
+        /** False if the answer could not be used, and the call has failed. */
+        private boolean takeAnswer(FullHttpResponse response) {
+            EndpointReader.Update list;
             try {
-                EndpointReader.Update list = reader.read(ByteBufUtil.getBytes(response.content()));
-                if (whole && !list.whole()) {
-                    failed("changes where the whole list was asked for");
-                    return;
-                }
-                if (!whole && list.index() < index) {
-                    // It is older than what is known; taken, it would tell engines to serve that have begun to drain.
-                    failed("an older list");
-                    return;
-                }
-                List.copyOf(open).stream().filter(other -> other != this).forEach(Call::abandon);
-                take(list);
-                whole = false;
-                againMs = AGAIN_FIRST_MS;
-                updated = true;
-                if (firstUpdateWaiter != null) {
-                    firstUpdateWaiter.run();
-                }
+                list = reader.read(ByteBufUtil.getBytes(response.content()));
             } catch (EndpointReader.BadList e) {
                 LOG.atWarn().addKeyValue("fault", e.getMessage()).log("a list from discovery can't be read; the last one stays");
-                // Danger: what it would have changed is not known any more; only a whole list mends that.
+                // What it would have changed is not known any more; only a whole list mends that.
                 whole = true;
                 failed("unreadable");
-                return;
+                return false;
             }
-            if (HttpUtil.isKeepAlive(response)) {
-                ask();
-            } else {
-                failed("closed");
+            if (whole && !list.whole()) {
+                failed("changes where the whole list was asked for");
+                return false;
+            }
+            if (!whole && list.index() < index) {
+                // It is older than what is known; taken, it would tell engines to serve that have begun to drain.
+                failed("an older list");
+                return false;
+            }
+            List.copyOf(open).stream().filter(other -> other != this).forEach(Call::abandon);
+            updated = true;
+            take(list);
+            whole = false;
+            againMs = AGAIN_FIRST_MS;
+            if (firstUpdateWaiter != null) {
+                firstUpdateWaiter.run();
             }
+            return true;
         }
 
         private void failed(String why) {
@@ -252,7 +327,7 @@
             LOG.atDebug().addKeyValue("why", why).log("discovery is asked again");
             double wait = againMs;
             againMs = Math.min(againMostMs, 2 * againMs);
-            // Danger: a gap in the watch may hide changes; after one the whole list is asked for.
+            // A gap in the watch may hide changes; after one the whole list is asked for.
             whole = true;
             ground.in(wait, () -> {
                 if (open.isEmpty()) {
@@ -265,13 +340,23 @@
             abandoned = true;
             open.remove(this);
             stopTimer();
-            channel.close();
+            if (channel != null) {
+                channel.close();
+            }
+        }
+
+        private void startTimer(double ms) {
+            stopTimer();
+            timer = ground.in(ms, () -> {
+                timer = NO_TIMER;
+                failed("silent");
+            });
         }
 
         private void stopTimer() {
-            if (timer >= 0) {
+            if (timer != NO_TIMER) {
                 ground.cancel(timer);
-                timer = -1;
+                timer = NO_TIMER;
             }
         }
 
--- a/src/main/java/larchridge/node/door/ClientConnection.java
+++ b/src/main/java/larchridge/node/door/ClientConnection.java
@@ -34,9 +34,12 @@
 import larchridge.front.Client;
 import larchridge.front.Open;
 import larchridge.site.Offer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** One client connection: one request at a time, what is sent ahead waits within a bound. */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
+    private static final Logger LOG = LoggerFactory.getLogger(ClientConnection.class);
     private static final String PATH = "/v1/chat/completions";
     private static final int FIRST_BYTES = 4096;
 
@@ -270,9 +273,15 @@
         if (own.done || hasLeft()) {
             return;
         }
-        door.front.take(Ask.passing(offer, door.site.guest, passage, asked.promptToks(), asked.sharedToks(),
-                asked.maxToks(), asked.prefix(), asked.session(), asked.resent(), asked.deadlineMs(),
-                door.ground.nowMs() - receivedMs), own, open -> own.open = open);
+        try {
+            door.front.take(Ask.passing(offer, door.site.guest, passage, asked.promptToks(), asked.sharedToks(),
+                    asked.maxToks(), asked.prefix(), asked.session(), asked.resent(), asked.deadlineMs(),
+                    door.ground.nowMs() - receivedMs), own, open -> own.open = open);
+        } catch (RuntimeException | OutOfMemoryError e) {
+            // Without this the client would wait for an answer that nobody owes it any more.
+            LOG.atError().addKeyValue("id", asked.id()).setCause(e).log("a request could not be taken");
+            own.terminated(Client.Cause.INTERNAL, false);
+        }
     }
 
     /**
--- a/src/main/java/larchridge/node/door/Door.java
+++ b/src/main/java/larchridge/node/door/Door.java
@@ -74,6 +74,7 @@
     public void listen(String host, int port) throws InterruptedException {
         Channel bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+                .handler(new AcceptFailureHandler())
                 .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.ALLOCATOR, buffers)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
--- a/src/test/java/larchridge/node/DescriptorExhaustionTest.java
+++ b/src/test/java/larchridge/node/DescriptorExhaustionTest.java
@@ -69,6 +69,21 @@
         assertTrue(tookMs < RECOVERED_WITHIN_MS, "asked again after " + tookMs + " ms");
     }
 
+    /** A failed accept is this machine's affair of a moment. */
+    @Test
+    void clientsAreAcceptedAgainOnceThereAreDescriptors() throws Exception {
+        List<Socket> clients = connectAll();
+        TimeUnit.MILLISECONDS.sleep(200);
+        closeAll(clients);
+        long free = System.nanoTime();
+        try (Scene.RawClient client = new Scene.RawClient(node.port)) {
+            client.send(Scene.UP);
+            assertTrue(client.answer().startsWith("HTTP/1.1 200 "));
+        }
+        double tookMs = (System.nanoTime() - free) / 1e6;
+        assertTrue(tookMs < 500, "accepted after " + tookMs + " ms");
+    }
+
     /** A call for a socket that fails says nothing about the engine, and there is time to try again. */
     @Test
     void requestIsServedWhoseAttemptsFindNoDescriptorForAMoment() throws Exception {
@@ -78,7 +93,8 @@
         client.send(Scene.ask(Scene.id(), ""));
         TimeUnit.MILLISECONDS.sleep(500);
         closeAll(clients);
-        Scene.served(client);
+        String head = client.until("\r\n\r\n");
+        assertTrue(head != null && head.startsWith("HTTP/1.1 200 "), head);
         assertEquals(1, node.writer.posts());
         client.close();
     }
--- a/src/test/java/larchridge/node/DiscoveryTest.java
+++ b/src/test/java/larchridge/node/DiscoveryTest.java
@@ -130,6 +130,46 @@
         }
     }
 
+    /** The agent behind a new configuration may lag behind the one before; what the node was told still counts. */
+    @Test
+    void olderListOfAnotherAgentBringsNoDrainingEngineBack() throws Exception {
+        String writer = Scene.row("w1", scene.writer.port(), "redaccion", "SERVING", 0);
+        try (Scene.Actor other = new Scene.Actor(seen -> new Reply(Scene.read(0), true));
+                Scene.Actor moved = new Scene.Actor(seen -> new Reply(isWatch(seen) ? null
+                        : list(40, Scene.row("r1", scene.reader.port(), "lectura", "SERVING", 0),
+                        Scene.row("r2", other.port(), "lectura", "SERVING", 0), writer), true))) {
+            scene.discovery.script = seen -> new Reply(isWatch(seen) && seen.target().contains("after=60") ? null
+                    : list(60, Scene.row("r1", scene.reader.port(), "lectura", "DRAINING", 0), writer), true);
+            scene.changed();
+            Seen call = scene.discovery.next("GET");
+            while (!call.target().contains("after=60")) {
+                call = scene.discovery.next("GET");
+            }
+            scene.configure(moved.port());
+            scene.node.readAgain();
+            awaitCall(moved, true);
+            scene.settled();
+            servedBy(other, scene.reader);
+        }
+    }
+
+    /** An agent that answers every watch at once, with nothing new, must not keep the loop busy. */
+    @Test
+    void watchThatIsAnsweredAtOnceIsAskedAtABoundedRate() throws Exception {
+        AtomicInteger watches = new AtomicInteger();
+        scene.discovery.script = seen -> {
+            watches.incrementAndGet();
+            return new Reply(list(60, Scene.row("r1", scene.reader.port(), "lectura", "SERVING", 0),
+                    Scene.row("w1", scene.writer.port(), "redaccion", "SERVING", 0)), true);
+        };
+        scene.changed();
+        awaitCall(scene.discovery, true);
+        watches.set(0);
+        TimeUnit.MILLISECONDS.sleep(1000);
+        assertTrue(watches.get() <= 60, watches + " watches in a second");
+        assertTrue(watches.get() >= 5, watches + " watches in a second");
+    }
+
     @Test
     void firstAnswerFromTheOldAddressAfterAMoveChangesNothing() throws Exception {
         CountDownLatch asked = new CountDownLatch(1);
--- a/src/test/java/larchridge/node/NodeProcess.java
+++ b/src/test/java/larchridge/node/NodeProcess.java
@@ -87,6 +87,11 @@
         return new Reply(Scene.answer("200 OK", wholeList()), true);
     }
 
+    /** What the process has written so far. */
+    String log() throws IOException {
+        return Files.readString(log);
+    }
+
     void listChanged() {
         synchronized (index) {
             index.incrementAndGet();
--- /dev/null
+++ b/src/test/java/larchridge/node/discovery/StartTimesTest.java
@@ -0,0 +1,47 @@
+package larchridge.node.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Start times of engines under wall clocks that step; the node's own clock begins at a million. */
+class StartTimesTest {
+    private static final double HOUR_MS = 3_600_000;
+    private static final double NOW_MS = 1_000_000;
+    private static final double WALL_MS = 1_700_000_000_000.0;
+
+    private double wallMs = WALL_MS;
+    private final StartTimes starts = new StartTimes(() -> (long) wallMs);
+
+    @Test
+    void rightClockTellsAnEnginesAge() {
+        assertEquals(NOW_MS - 3000, starts.of("a", WALL_MS - 3000, NOW_MS));
+        assertEquals(0, starts.of("b", 0, NOW_MS));
+    }
+
+    /** However the wall clock was stepped, an engine that was not on the last confirmed list has started since. */
+    @ParameterizedTest
+    @ValueSource(doubles = {-HOUR_MS, -5000, 5000, HOUR_MS})
+    void engineThatJoinedIsAsOldAsItsListAtMostAfterAStep(double stepMs) {
+        starts.confirmed(NOW_MS);
+        wallMs = WALL_MS + 2000 + stepMs;
+        double local = starts.of("a", WALL_MS + 1500, NOW_MS + 2000);
+        assertEquals(Math.min(NOW_MS + 2000, Math.max(NOW_MS, NOW_MS + 1500 - stepMs)), local);
+    }
+
+    @Test
+    void engineKnownBeforeAStepStaysAsOldAsItWas() {
+        double before = starts.of("a", WALL_MS - 60_000, NOW_MS);
+        starts.confirmed(NOW_MS);
+        wallMs = WALL_MS + HOUR_MS;
+        assertEquals(before, starts.of("a", WALL_MS - 60_000, NOW_MS + 5000));
+    }
+
+    @Test
+    void clockThatIsBehindAtTheStartTakesNoEngineForOneOfTheFuture() {
+        wallMs = WALL_MS - HOUR_MS;
+        assertEquals(NOW_MS, starts.of("a", WALL_MS - 60_000, NOW_MS));
+    }
+}
