Slow clients that stop, requests long after SIGTERM, configurations that can't be read at once

Three crossings found by reading, each with a test over real connections that failed before (NarrowMomentsTest): - A client that is slow with its head (1.9 s) and stops in its body was answered 3.96 s after it connected; 3 s are owed. Head and body had 2 s each; both together now have 2.6 s from the connection's start (ClientConnection.checkTimeouts). - A request 0.55 s after SIGTERM was taken on (COMING_MS 750, and SIGTERM may be handled 0.15 s late): a stream that came over 0.7 s after SIGTERM is lost if SIGKILL finds it under way. COMING_MS is 500; clients come for 0.4 s at most. - SIGHUP while the file can't be read (half written, or no descriptor for open): all stayed as it was for good, and the old agent closes. Read again after 100 ms, doubling to 2 s, for a minute, or until a newer signal. Beside: an Error while the node is built ends the start instead of leaving it waiting.

--- a/src/main/java/larchridge/node/Node.java
+++ b/src/main/java/larchridge/node/Node.java
@@ -49,6 +49,8 @@
     private static final double BODIES_PART = 0.2;
     private static final int OPEN_BYTES = 16 << 10;
     private static final double REQUEST_MS = 2000;
+    /** A client that stops in the middle is owed its error 3 s after it connected; the rest is for the look that sees it. */
+    private static final double WHOLE_REQUEST_MS = 2600;
     /** A client has this long to read an answer and end its side, before what it still sends ends the connection. */
     private static final double LINGER_MS = 1000;
     /** Nobody is left waiting on a stream for longer, though the platform allows a little more. */
@@ -63,8 +65,15 @@
     /** Without a list from discovery for so long, a node serves by the one it was started with. */
     private static final double FIRST_LIST_MS = 1500;
     private static final double PICTURE_MS = 1000;
-    /** For so long after the word to end, clients may still come. */
-    private static final double COMING_MS = 750;
+    /**
+     * For so long after the word to end, clients may still come. What comes later than 0.7 s after it must not be found under
+     * way when the process is killed; the word itself may be handled 0.15 s late.
+     */
+    private static final double COMING_MS = 500;
+    /** A configuration that can't be read is read again after a pause that doubles, for so long in all. */
+    private static final double READ_AGAIN_MS = 100;
+    private static final double READ_AGAIN_MOST_MS = 2000;
+    private static final double READ_AGAIN_FOR_MS = 60_000;
 
     private final Map<String, String> variables;
     private final NodeFile file;
@@ -81,6 +90,8 @@
     private DiscoveryClient discoveryClient;
     /** Set on the loop; the thread that starts the node looks at it. */
     private volatile boolean ending;
+    /** Signals for a new configuration so far; a newer one takes the place of one whose file can't be read yet. */
+    private int configurations;
 
     private Node(Map<String, String> variables, NodeFile file) {
         this.variables = variables;
@@ -233,7 +244,8 @@
                     file.given.reportFields));
             front = new Front(ground, site, 0, link, new Meters(new CompositeMeterRegistry()), Decider::choice);
             door = new Door(group, buffers, ground, front, site, file.given.products.values(), new DoorBounds(
-                    (int) (file.sockets * CLIENTS_PART), BODY_BYTES, bodies, REQUEST_MS, file.given.keepAliveMs, LINGER_MS));
+                    (int) (file.sockets * CLIENTS_PART), BODY_BYTES, bodies, REQUEST_MS,
+                    WHOLE_REQUEST_MS, file.given.keepAliveMs, LINGER_MS));
             EndpointReader reader = new EndpointReader(file.given.roles, file.given.memory);
             discoveryClient = new DiscoveryClient(loop, buffers, ground, reader, file.given.drainGraceMs, this::endpointsChanged);
             if (file.known.isObject()) {
@@ -247,7 +259,8 @@
             if (LOG.isDebugEnabled()) {
                 ground.every(PICTURE_MS, () -> LOG.debug("{}", picture()));
             }
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
+            // An error too: the thread that starts the node would else wait for what nobody makes any more.
             LOG.error("the node could not be built", e);
             door = null;
         }
@@ -285,12 +298,17 @@
     /** A new configuration: where discovery is may have changed. What can't be read changes nothing. */
     void readAgain() {
         if (!loop.isShuttingDown()) {
-            loop.execute(this::follow);
+            loop.execute(() -> follow(++configurations, READ_AGAIN_MS, ground.nowMs() + READ_AGAIN_FOR_MS));
         }
     }
 
-    private void follow() {
-        if (discoveryClient == null) {
+    /**
+     * Follows discovery at the address in the file. A file that can't be read now may be half written, or the call for it
+     * failed for want of a descriptor: nobody signals again, and the node would stay at an address that no longer answers. So
+     * it is read again until it can be, or until a newer signal.
+     */
+    private void follow(int configuration, double pauseMs, double untilMs) {
+        if (discoveryClient == null || configuration != configurations || ended.getCount() == 0) {
             return;
         }
         try {
@@ -298,7 +316,12 @@
             LOG.atInfo().addKeyValue("discovery", changed.discovery).log("configuration read again");
             discoveryClient.follow(changed.discovery.host(), changed.discovery.port());
         } catch (BadNode e) {
-            LOG.atError().addKeyValue("fault", e.getMessage()).log("the new configuration can't be used; all stays as it was");
+            boolean again = ground.nowMs() + pauseMs < untilMs;
+            LOG.atError().addKeyValue("fault", e.getMessage()).addKeyValue("again", again)
+                    .log("the new configuration can't be used; all stays as it was");
+            if (again) {
+                ground.in(pauseMs, () -> follow(configuration, Math.min(READ_AGAIN_MOST_MS, 2 * pauseMs), untilMs));
+            }
         }
     }
 
--- a/src/main/java/larchridge/node/Rehearsal.java
+++ b/src/main/java/larchridge/node/Rehearsal.java
@@ -83,7 +83,8 @@
             return engine.newSucceededFuture();
         });
         Front front = new Front(ground, site, 0, link, new Meters(new CompositeMeterRegistry()), Decider::choice);
-        door = new Door(null, null, ground, front, site, given.products.values(), new DoorBounds(400, 1 << 18, 1 << 22, 1e6, 1e6, 1e6));
+        door = new Door(null, null, ground, front, site, given.products.values(), new DoorBounds(400, 1 << 18, 1 << 22, 1e6, 1e6,
+                1e6, 1e6));
         List<Row> rows = new ArrayList<>();
         for (int i = 0; i < ENGINES; i++) {
             Role role = i % 3 == 0 ? Role.READER : i % 3 == 1 ? Role.WRITER : Role.BOTH;
--- a/src/main/java/larchridge/node/door/ClientConnection.java
+++ b/src/main/java/larchridge/node/door/ClientConnection.java
@@ -48,6 +48,7 @@
     private final StrictDecoder decoder = new StrictDecoder(this::requestStarted);
     private final double enteredMs;
     private boolean served;
+    private int requestsBegun;
     private double idleSinceMs;
 
     private double requestStartedMs;
@@ -157,6 +158,7 @@
         head = request;
         headMs = door.ground.nowMs();
         served = true;
+        requestsBegun++;
         HttpHeaders headers = request.headers();
         if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
             refuse(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "HTTP/1.1 is spoken here");
@@ -370,15 +372,26 @@
             return;
         }
         boolean receiving = decoder.isReceiving();
-        if (head != null && now - headMs > door.bounds.requestMs()
-                || !served && now - enteredMs > door.bounds.requestMs()
-                || head == null && receiving && now - Math.max(requestStartedMs, idleSinceMs) > door.bounds.requestMs()) {
+        if (isRequestOverdue(now, receiving)) {
             refuse(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time");
         } else if (head == null && !receiving && now - idleSinceMs > door.bounds.idleMs()) {
             closeGracefully();
         }
     }
 
+    /**
+     * Head and body have a time each, and both together one that is counted from the connection's start, or from the first
+     * byte of a later request: a client that is slow with its head and then stops would else stay for both.
+     */
+    private boolean isRequestOverdue(double now, boolean receiving) {
+        if (head == null && !receiving && served) {
+            return false;
+        }
+        double startedMs = requestsBegun <= (head == null ? 0 : 1) ? enteredMs : Math.max(requestStartedMs, idleSinceMs);
+        double partStartedMs = head != null ? headMs : startedMs;
+        return now - partStartedMs > door.bounds.requestMs() || now - startedMs > door.bounds.wholeRequestMs();
+    }
+
     /**
      * The process is to end: ends the connection if it has been served and rests. One that has not been asked on yet is
      * kept for its first request, within the bound on that: closed now, its client would lose the request under way.
