Run-time invariants, one guard for sends and repeats, reasons as counters and log fields

- SendGuard asks, when an attempt is written, what it was decided on.
RepeatRule (policy file) is asked twice, at the decision and at the write.
Found by reading: the window in which engines drop repeats was only asked at the decision, at 0.8 of it; a connection may take 250 ms more.
- Reasons as enum constants, fields and tags: CloseReason, RequestRefusal, SendRefusal, CallOffReason, GiveUpReason; retries by the outcome before.
Last counts are logged at the end of the process.

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -10,6 +10,7 @@
 import larchridge.state.Engine;
 import larchridge.state.Fleet;
 import larchridge.state.Gen;
+import larchridge.state.GiveUpReason;
 import larchridge.state.Listing;
 import larchridge.state.Mean;
 import larchridge.state.Outcome;
@@ -74,9 +75,8 @@
     // What the newest answer counts in the share of an engine's errors, and the share that makes it suspect.
     private static final double ERROR_WEIGHT = 0.25;
     private static final double ERRORS_MOST = 0.4;
-    // Rules: the parts used of a cold engine's budget and of a group's memory, the margin of a final answer.
+    // Rules: the part used of a cold engine's budget, the margin of a final answer.
     private static final double COLD_PART = 0.5;
-    private static final double MEMORY_PART = 0.8;
     private static final double ANSWER_EARLY_MS = 30;
     private static final double SWEEP_MS = 20;
     // The pause after an attempt that could not be sent from here; it doubles up to the most.
@@ -301,7 +301,7 @@
         // Danger: a generation that waits twice is sent twice, and the second send drops its state.
         gen.waiting = false;
         if (now >= gen.limitMs - ANSWER_EARLY_MS) {
-            giveUp(gen);
+            giveUp(gen, GiveUpReason.TIME_UP);
             return;
         }
         if (gen.state != null && gen.state.isLost()) {
@@ -309,7 +309,7 @@
         }
         if (gen.state == null) {
             if (gen.attemptsSent() + 2 > maxAttempts) {
-                giveUp(gen);
+                giveUp(gen, GiveUpReason.ATTEMPTS_USED);
                 return;
             }
             Engine reader = !isAsking(gen) && roomAnywhere(gen) ? pickReader(gen) : null;
@@ -322,7 +322,7 @@
         } else {
             Engine writer = gen.attemptsSent() < maxAttempts ? pickWriter(gen) : null;
             if (writer == null) {
-                giveUp(gen);
+                giveUp(gen, gen.attemptsSent() < maxAttempts ? GiveUpReason.NO_WRITER : GiveUpReason.ATTEMPTS_USED);
                 return;
             }
             sendWrite(gen, writer);
@@ -464,7 +464,7 @@
                 late = false;
             }
             if (late) {
-                giveUp(gen);
+                giveUp(gen, GiveUpReason.TOO_LATE);
             } else if (tried++ < MOST_TRIED) {
                 // Danger: thousands that wait, all tried whenever an attempt ends, keep the loop busy.
                 advance(gen);
@@ -472,7 +472,8 @@
         }
     }
 
-    private void giveUp(Gen gen) {
+    private void giveUp(Gen gen, GiveUpReason reason) {
+        gen.givenUp = reason;
         cancelOthers(gen, null);
         departed(gen);
         // Rule 2: throttled says that trying again is harmless.
@@ -587,7 +588,7 @@
             gen.state.engine.moves.add(now, 2 * MOVE_LATE_MS, 1);
         }
         if (now >= gen.limitMs - ANSWER_EARLY_MS) {
-            giveUp(gen);
+            giveUp(gen, GiveUpReason.TIME_UP);
         } else if (gen.attemptsOut == 0 && !gen.waiting && now >= gen.nextAttemptMs) {
             advance(gen);
         } else if (gen.attemptsOut > 0 && gen.product.effect == Effect.IDEMPOTENT && mayCancel
@@ -618,25 +619,6 @@
 
     // ------------------------------------------------------------------ rules
 
-    /** Rule 2: whether one more attempt to this writer could not repeat an effect. */
-    private boolean mayRunAt(Gen gen, Engine engine) {
-        if (gen.product.effect == Effect.IDEMPOTENT) {
-            return maySendCopies || gen.attemptsOut == 0;
-        }
-        if (gen.attemptsOut > 0) {
-            return false;
-        }
-        for (Attempt attempt : gen.attempts) {
-            if (attempt.mayHaveRun() && (gen.product.effect == Effect.SIDE_EFFECTING
-                    || host.now() > attempt.sentMs + MEMORY_PART * gen.product.memoryMs
-                    || gen.product.span == Span.ZONE && !attempt.engine.zone.equals(engine.zone)
-                    || gen.product.span == Span.RACK && attempt.engine.rack != engine.rack)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     private boolean isCold(Engine engine, double now) {
         return engine.startMs > 0 && now < engine.startMs + coldMs;
     }
@@ -666,7 +648,7 @@
         boolean anySound = pool.stream().anyMatch(e -> isSound(e, now));
         for (Engine engine : pool) {
             // All suspect = none suspect: doubt must never empty a pool.
-            if ((isSound(engine, now) || !anySound) && mayRunAt(gen, engine)
+            if ((isSound(engine, now) || !anySound) && RepeatRule.mayDecide(gen, engine, now, maySendCopies)
                     && (!isCold(engine, now) || coldDraw(engine, now))) {
                 fit.add(engine);
             }
--- /dev/null
+++ b/src/main/java/larchridge/RepeatRule.java
@@ -0,0 +1,66 @@
+package larchridge;
+
+import larchridge.state.Attempt;
+import larchridge.state.Effect;
+import larchridge.state.Engine;
+import larchridge.state.Gen;
+import larchridge.state.Span;
+
+/**
+ * Rule 2: whether one more attempt of a generation could repeat an effect, or run beside another where that is not allowed.
+ * Asked twice: when an attempt is decided, and again when it is written, since a connection may come up long after the
+ * decision and the window in which engines drop repeats goes on running.
+ */
+public final class RepeatRule {
+    /** Of the window in which engines drop repeats, the part in which a repeat may still be decided. */
+    private static final double DECIDED_WITHIN_PART = 0.8;
+    /** A process may be held up for so long between reading its clock and writing. */
+    private static final double HELD_UP_MS = 150;
+
+    private RepeatRule() { }
+
+    /** Whether an attempt of a generation may be decided for an engine now. */
+    static boolean mayDecide(Gen gen, Engine engine, double nowMs, boolean copiesAllowed) {
+        double latestPart = DECIDED_WITHIN_PART * gen.product.memoryMs;
+        double latest = Math.min(latestPart, gen.product.memoryMs - HELD_UP_MS);
+        return mayRun(gen, engine, null, nowMs - latest, copiesAllowed);
+    }
+
+    /** Whether an attempt that was decided may be written now. */
+    public static boolean mayWrite(Attempt attempt, double nowMs, boolean copiesAllowed) {
+        double latest = attempt.gen.product.memoryMs - HELD_UP_MS;
+        return mayRun(attempt.gen, attempt.engine, attempt, nowMs - latest, copiesAllowed);
+    }
+
+    /** Whether no earlier attempt, beside the one asked about, stands against a run at an engine. */
+    private static boolean mayRun(Gen gen, Engine engine, Attempt own, double sentSinceMs, boolean copiesAllowed) {
+        Effect effect = gen.product.effect;
+        if (effect == Effect.IDEMPOTENT && copiesAllowed) {
+            return true;
+        }
+        int othersOut = gen.attemptsOut - (own != null && own.out ? 1 : 0);
+        if (othersOut > 0) {
+            return false;
+        }
+        if (effect == Effect.IDEMPOTENT) {
+            return true;
+        }
+        for (Attempt earlier : gen.attempts) {
+            if (earlier != own && earlier.mayHaveRun()
+                    && (effect == Effect.SIDE_EFFECTING || earlier.sentMs < sentSinceMs
+                    || !dropsRepeats(gen.product.span, earlier.engine, engine))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Whether one engine drops repeats of what the other has run. */
+    private static boolean dropsRepeats(Span span, Engine first, Engine second) {
+        return switch (span) {
+            case ALL -> true;
+            case ZONE -> first.zone.equals(second.zone);
+            case RACK -> first.rack == second.rack;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/audit/AuditedAttempt.java
@@ -0,0 +1,27 @@
+package larchridge.audit;
+
+import larchridge.enginelink.Spot;
+
+/** One attempt of a request that was written. */
+final class AuditedAttempt {
+    final int number;
+    final Spot spot;
+    final AuditedEngine engine;
+    final boolean reads;
+    final double writtenMs;
+    boolean ended;
+    boolean neverRan;
+
+    AuditedAttempt(int number, Spot spot, AuditedEngine engine, boolean reads, double writtenMs) {
+        this.number = number;
+        this.spot = spot;
+        this.engine = engine;
+        this.reads = reads;
+        this.writtenMs = writtenMs;
+    }
+
+    /** Reads have no effect, however they end. */
+    boolean mayHaveRun() {
+        return !reads && !neverRan;
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/audit/AuditedEngine.java
@@ -0,0 +1,10 @@
+package larchridge.audit;
+
+import larchridge.state.Role;
+
+/**
+ * An engine as the newest list tells it.
+ *
+ * @param startMs when its process started, in the node's clock; 0 means long ago
+ */
+public record AuditedEngine(boolean serving, Role role, String zone, long rack, double units, double startMs) { }
--- a/src/main/java/larchridge/enginelink/CompletionsLink.java
+++ b/src/main/java/larchridge/enginelink/CompletionsLink.java
@@ -207,7 +207,7 @@
                 }
                 request = connected.result();
                 // Danger: an attempt that waited for a connection would reach an engine that has begun to drain since.
-                if (!order.stillMay().getAsBoolean()) {
+                if (order.check().refusal() != null) {
                     verdict.unfit();
                     request.reset();
                     later(verdict.outcome());
--- a/src/main/java/larchridge/enginelink/Hearing.java
+++ b/src/main/java/larchridge/enginelink/Hearing.java
@@ -27,6 +27,11 @@
         return;
     }
 
+    /** It was kept from being written, for this reason; the end of the attempt follows. */
+    default void notSent(SendRefusal reason) {
+        return;
+    }
+
     /** The last call for this attempt; ending is given with STREAMED only. */
     void ended(Outcome outcome, Report report, Ending ending);
 }
--- a/src/main/java/larchridge/enginelink/Order.java
+++ b/src/main/java/larchridge/enginelink/Order.java
@@ -1,7 +1,6 @@
 package larchridge.enginelink;
 
 import java.util.List;
-import java.util.function.BooleanSupplier;
 
 /**
  * What one attempt asks of an engine.
@@ -11,11 +10,11 @@
  * @param state     the read state to fetch, or null to read in place (or to read only)
  * @param repeatKey what engines drop repeats by, or null
  * @param passage   what goes on as it came, or null
- * @param stillMay  asked at the last moment before the attempt is written; false keeps it from being sent
+ * @param check     asked at the last moment before the attempt is written; a refusal keeps it from being sent
  */
 public record Order(String rid, Spot spot, String model, String prompt, int maxToks, List<String> stops,
                     Sampling sampling, StateHandle state, String repeatKey, Passage passage,
-                    BooleanSupplier stillMay) {
+                    SendCheck check) {
 
     /** How tokens are drawn; null leaves a figure to the engine. */
     public record Sampling(Double temperature, Double topP, Integer topK) { }
--- a/src/main/java/larchridge/front/Front.java
+++ b/src/main/java/larchridge/front/Front.java
@@ -18,6 +18,7 @@
 import larchridge.enginelink.EngineLink;
 import larchridge.enginelink.Hearing;
 import larchridge.enginelink.Order;
+import larchridge.enginelink.SendRefusal;
 import larchridge.enginelink.Spot;
 import larchridge.enginelink.StateHandle;
 import larchridge.inventory.Row;
@@ -36,6 +37,7 @@
 import larchridge.state.Outcome;
 import larchridge.state.Report;
 import larchridge.state.Span;
+import larchridge.state.Terms;
 import larchridge.state.Text;
 import larchridge.state.Texts;
 import org.slf4j.Logger;
@@ -64,6 +66,7 @@
     private final EngineLink link;
     private final Meters meters;
     private final Decider choice;
+    private final boolean copiesAllowed;
     private final Budgets budgets;
     private final Ledger ledger;
     private double nowMs;
@@ -114,7 +117,9 @@
         idStem = ground.stem();
         tick();
         budgets = site.budgetsOf(number, nowMs);
-        choice = module.make(site.termsOf(number), this);
+        Terms terms = site.termsOf(number);
+        copiesAllowed = terms.maySendCopies;
+        choice = module.make(terms, this);
         meters.front(number, () -> openSeen, () -> heldSeen);
         ground.every(LOOK_MS, this::lookAtSelf);
     }
@@ -269,7 +274,7 @@
         guarded(one, () -> choice.departed(one.gen));
         for (Trip trip : one.trips) {
             if (!trip.ended) {
-                callOff(trip, false);
+                callOff(trip, CallOffReason.REQUEST_OVER);
             }
         }
         settle(one);
@@ -319,7 +324,7 @@
         }
         for (Trip trip : one.trips) {
             if (!trip.ended && !one.duty.isBegun()) {
-                callOff(trip, true);
+                callOff(trip, CallOffReason.TIME_UP);
             }
         }
         if (one.duty.isBegun() && !one.duty.isDone() && one.ask.whole()) {
@@ -352,15 +357,39 @@
         Ask ask = one.ask;
         Order order = new Order(trip.rid, spot, ask.model(), ask.prompt(), ask.maxToks(), ask.stops(),
                 ask.sampling(), source == null ? null : source.state, repeatKey(one), ask.passage(),
-                () -> attempt.engine.mode == Mode.READY && !one.duty.isDone() && !one.client.isGone());
+                new SendGuard(attempt, one, ground, copiesAllowed));
         Ears ears = new Ears(one, trip);
         trip.holds = attempt.read;
+        noteSend(one, trip);
         trip.flight = attempt.read ? link.read(order, ears) : link.write(order, ears);
         if (one.paused) {
             trip.flight.pause();
         }
     }
 
+    /** Logs an attempt, and counts it with its reason where it is a further one of its stage. */
+    private void noteSend(Open one, Trip trip) {
+        String stage = stage(trip);
+        Trip before = null;
+        for (Trip earlier : one.trips) {
+            if (earlier != trip && earlier.attempt.read == trip.attempt.read) {
+                before = earlier;
+            }
+        }
+        String why = before == null ? "first" : before.attempt.out ? "beside"
+                : before.attempt.outcome == null ? "state_lost" : before.attempt.outcome.name().toLowerCase(Locale.ROOT);
+        if (before != null) {
+            meters.retried(number, stage, why);
+        }
+        LOG.atDebug().addKeyValue("generation", one.gen.label).addKeyValue("attempt", trip.attempt.number)
+                .addKeyValue("engine", trip.attempt.engine.label).addKeyValue("stage", stage).addKeyValue("reason", why)
+                .log("SENT");
+    }
+
+    private static String stage(Trip trip) {
+        return trip.attempt.read ? "read" : "write";
+    }
+
     /** What engines drop repeats by: the client's own key, or the generation where the client gave none. */
     private static String repeatKey(Open one) {
         if (one.gen.product.effect != Effect.DEDUPLICATED) {
@@ -371,11 +400,14 @@
 
     @Override
     public void cancel(Attempt attempt) {
-        callOff(open.get(attempt.gen).tripOf(attempt), false);
+        callOff(open.get(attempt.gen).tripOf(attempt), CallOffReason.REPLACED);
     }
 
-    private void callOff(Trip trip, boolean timeIsUp) {
-        if (timeIsUp) {
+    private void callOff(Trip trip, CallOffReason reason) {
+        meters.calledOff(number, stage(trip), reason.tag());
+        LOG.atDebug().addKeyValue("generation", trip.attempt.gen.label).addKeyValue("attempt", trip.attempt.number)
+                .addKeyValue("reason", reason).log("called off");
+        if (reason == CallOffReason.TIME_UP) {
             trip.flight.expire();
         } else {
             trip.flight.cancel();
@@ -455,10 +487,13 @@
     }
 
     private void answered(Open one, String kind) {
+        if (one.gen.givenUp != null) {
+            meters.givenUp(number, one.gen.product.name, one.gen.givenUp.name().toLowerCase(Locale.ROOT));
+        }
         meters.answered(number, one.gen.product.name, kind, nowMs - one.gen.arrivedMs);
         LOG.atDebug().addKeyValue("generation", one.gen.label).addKeyValue("front", number)
                 .addKeyValue("product", one.gen.product.name).addKeyValue("attempts", one.trips.size())
-                .addKeyValue("ms", Math.round(nowMs - one.gen.arrivedMs)).log(kind);
+                .addKeyValue("ms", Math.round(nowMs - one.gen.arrivedMs)).addKeyValue("reason", one.gen.givenUp).log(kind);
     }
 
     @Override
@@ -581,6 +616,13 @@
             }
         }
 
+        @Override
+        public void notSent(SendRefusal reason) {
+            meters.notSent(number, reason.tag());
+            LOG.atDebug().addKeyValue("generation", one.gen.label).addKeyValue("attempt", trip.attempt.number)
+                    .addKeyValue("reason", reason).log("not sent");
+        }
+
         @Override
         public void unusable() {
             tick();
@@ -630,6 +672,7 @@
         if (one.paused || left > 1) {
             one.quietTimer = ground.in(one.paused ? site.limit.quietStreamMs : left, () -> quiet(one));
         } else {
+            meters.calledOff(number, stage(one.streaming), CallOffReason.SILENT_STREAM.tag());
             one.streaming.flight.expire();
         }
     }
--- a/src/main/java/larchridge/metrics/Meters.java
+++ b/src/main/java/larchridge/metrics/Meters.java
@@ -73,6 +73,31 @@
         count("larchridge_turned_away", front, "kind", kind, "stage", "door");
     }
 
+    /** An attempt that was decided was not written. */
+    public void notSent(int front, String reason) {
+        count("larchridge_attempts_not_sent", front, "reason", reason, "stage", "link");
+    }
+
+    /** A further attempt of a generation; why tells what became of the one before. */
+    public void retried(int front, String stage, String why) {
+        count("larchridge_retries", front, "stage", stage, "reason", why);
+    }
+
+    /** A generation was given up. */
+    public void givenUp(int front, String product, String reason) {
+        count("larchridge_given_up", front, "product", product, "reason", reason);
+    }
+
+    /** An attempt was called off. */
+    public void calledOff(int front, String stage, String reason) {
+        count("larchridge_called_off", front, "stage", stage, "reason", reason);
+    }
+
+    /** A request was refused before it was taken. */
+    public void refused(String reason) {
+        count("larchridge_requests_refused", 0, "reason", reason, "stage", "door");
+    }
+
     public void fault(int front) {
         count("larchridge_module_faults", front, "kind", "exception", "stage", "module");
     }
--- a/src/main/java/larchridge/node/Node.java
+++ b/src/main/java/larchridge/node/Node.java
@@ -1,6 +1,5 @@
 package larchridge.node;
 
-import io.micrometer.core.instrument.composite.CompositeMeterRegistry;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.EventLoop;
@@ -84,6 +83,7 @@
     private final ByteBufAllocator buffers = new PooledByteBufAllocator(true, 1, 1, PAGE_BYTES, CHUNK_ORDER,
             64, 32, true);
     private final LoopGround ground;
+    private NodeAudit audit;
     private PassageLink link;
     private Front front;
     private Door door;
@@ -183,6 +183,11 @@
         return loop.submit(link::openRequests).get();
     }
 
+    /** Violations of invariants so far; on any thread. */
+    long violations() {
+        return audit == null ? 0 : audit.violationsSoFar();
+    }
+
     /** Attempts out by the module's count, or -1 if the link's count differs at any engine. */
     int attemptsOut() throws InterruptedException, ExecutionException {
         return loop.submit(() -> {
@@ -239,13 +244,16 @@
             site.limit.slowClientMs = SLOW_CLIENT_MS;
             site.limit.quietStreamMs = QUIET_MS;
             site.limit.stopMs = 10 * longestPatienceMs();
+            audit = new NodeAudit(ground, file.given);
+            Meters meters = audit.meters();
             link = new PassageLink(loop, ground, buffers, new LinkBounds(file.given.connectMs, file.given.keepAliveMs,
                     file.given.releaseMs, (int) (file.sockets * ENGINES_PART), (int) (file.sockets * ENGINES_PART / 2),
-                    file.given.reportFields));
-            front = new Front(ground, site, 0, link, new Meters(new CompositeMeterRegistry()), Decider::choice);
+                    file.given.reportFields), audit.events());
+            front = new Front(ground, site, 0, link, meters, Decider::choice);
+            audit.compareCounts(ground, front, link);
             door = new Door(group, buffers, ground, front, site, file.given.products.values(), new DoorBounds(
                     (int) (file.sockets * CLIENTS_PART), BODY_BYTES, bodies, REQUEST_MS,
-                    WHOLE_REQUEST_MS, file.given.keepAliveMs, LINGER_MS));
+                    WHOLE_REQUEST_MS, file.given.keepAliveMs, LINGER_MS), audit.events(), meters);
             EndpointReader reader = new EndpointReader(file.given.roles, file.given.memory);
             discoveryClient = new DiscoveryClient(loop, buffers, ground, reader, file.given.drainGraceMs, this::endpointsChanged);
             if (file.known.isObject()) {
@@ -290,6 +298,7 @@
         List<Spot> spots = new ArrayList<>();
         rows.forEach(row -> spots.add(new Spot(row.host(), row.port())));
         link.engines(spots);
+        audit.listed(rows);
         front.listed(rows);
     }
 
@@ -354,7 +363,10 @@
                 discoveryClient.stop();
                 // Danger: the end of the process closes over what clients still send, and resets answers on their way.
                 door.close();
-                door.whenEmpty(ended::countDown);
+                door.whenEmpty(() -> {
+                    audit.atEnd(front, link, door);
+                    ended.countDown();
+                });
             });
         });
     }
--- a/src/main/java/larchridge/node/Rehearsal.java
+++ b/src/main/java/larchridge/node/Rehearsal.java
@@ -1,9 +1,9 @@
 package larchridge.node;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.micrometer.core.instrument.composite.CompositeMeterRegistry;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelException;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.util.AttributeKey;
 import java.io.IOException;
@@ -18,7 +18,6 @@
 import larchridge.front.Ground;
 import larchridge.front.World;
 import larchridge.inventory.Row;
-import larchridge.metrics.Meters;
 import larchridge.node.door.Door;
 import larchridge.node.door.DoorBounds;
 import larchridge.node.link.LinkBounds;
@@ -51,6 +50,8 @@
     private static final int EVENTS = 12;
     /** So many good ones come with one that is not: of clients' requests, and of engines' answers. */
     private static final int BAD_EACH = 8;
+    /** One in so many connections to engines can't be opened for want of a descriptor. */
+    private static final int FAILED_EACH = 4;
     /** Engines take so long in rehearsed time; while it passes, others arrive. */
     private static final double STEP_MS = 7;
 
@@ -66,6 +67,7 @@
     private int answers;
     private int asked;
     private int whole;
+    private int opened;
 
     private Rehearsal() throws BadTerms, IOException {
         Given given = Given.read(new ObjectMapper().readTree(TERMS), 1);
@@ -76,21 +78,27 @@
         site.limit.quietStreamMs = 1e6;
         site.limit.stopMs = 1e6;
         site.releaseMs = given.releaseMs;
+        NodeAudit audit = new NodeAudit(ground, given);
         PassageLink link = new PassageLink(ground, new LinkBounds(given.connectMs, given.keepAliveMs, given.releaseMs,
                 400, 200, given.reportFields), (spot, handlers) -> {
             EmbeddedChannel engine = new EmbeddedChannel(handlers);
+            if (++opened % FAILED_EACH == 0) {
+                // The classes for this could not be loaded any more where there really is no descriptor left.
+                return engine.newFailedFuture(new ChannelException("rehearsed: no descriptor"));
+            }
             engines.add(engine);
             return engine.newSucceededFuture();
-        });
-        Front front = new Front(ground, site, 0, link, new Meters(new CompositeMeterRegistry()), Decider::choice);
+        }, audit.events());
+        Front front = new Front(ground, site, 0, link, audit.meters(), Decider::choice);
         door = new Door(null, null, ground, front, site, given.products.values(), new DoorBounds(400, 1 << 18, 1 << 22, 1e6, 1e6,
-                1e6, 1e6));
+                1e6, 1e6), audit.events(), audit.meters());
         List<Row> rows = new ArrayList<>();
         for (int i = 0; i < ENGINES; i++) {
             Role role = i % 3 == 0 ? Role.READER : i % 3 == 1 ? Role.WRITER : Role.BOTH;
             rows.add(new Row(i + 1, "e" + i, 1, role, i % 2 == 0 ? "a" : "b", i / 4, 1, 200_000,
                     i == 11 ? time.nowMs() : 0, Mode.READY));
         }
+        audit.listed(rows);
         link.engines(rows.stream().map(row -> new Spot(row.host(), row.port())).toList());
         front.listed(rows);
     }
--- a/src/main/java/larchridge/node/door/ClientConnection.java
+++ b/src/main/java/larchridge/node/door/ClientConnection.java
@@ -23,10 +23,12 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.Deque;
+import larchridge.audit.CloseReason;
 import larchridge.budget.Answer;
 import larchridge.enginelink.Ending;
 import larchridge.enginelink.Passage;
@@ -50,6 +52,8 @@
     private boolean served;
     private int requestsBegun;
     private double idleSinceMs;
+    /** Why this side ends the connection; null as long as it does not. */
+    private CloseReason closeReason;
 
     private double requestStartedMs;
     private HttpRequest head;
@@ -136,8 +140,7 @@
     private void take(HttpObject part) {
         if (part.decoderResult().isFailure()) {
             boolean tooLong = part.decoderResult().cause() instanceof TooLongFrameException;
-            refuse(tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST,
-                    "the request can't be read");
+            refuse(tooLong ? RequestRefusal.HEAD_TOO_LONG : RequestRefusal.UNREADABLE);
             return;
         }
         if (part instanceof HttpRequest request) {
@@ -161,18 +164,18 @@
         requestsBegun++;
         HttpHeaders headers = request.headers();
         if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
-            refuse(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "HTTP/1.1 is spoken here");
+            refuse(RequestRefusal.OTHER_VERSION);
             return;
         }
         boolean chunks = headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
         if (chunks && (headers.contains(HttpHeaderNames.CONTENT_LENGTH)
                 || headers.getAll(HttpHeaderNames.TRANSFER_ENCODING).size() != 1
                 || !headers.get(HttpHeaderNames.TRANSFER_ENCODING).strip().equalsIgnoreCase("chunked"))) {
-            refuse(HttpResponseStatus.BAD_REQUEST, "one length is expected");
+            refuse(RequestRefusal.TWO_LENGTHS);
             return;
         }
         if (!chunks && HttpUtil.getContentLength(request, 0L) > door.bounds.bodyBytes()) {
-            refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long");
+            refuse(RequestRefusal.BODY_TOO_LONG);
             return;
         }
         if (HttpUtil.is100ContinueExpected(request)) {
@@ -184,12 +187,11 @@
     private void gather(HttpContent content) {
         int more = content.content().readableBytes();
         if (length + more > door.bounds.bodyBytes()) {
-            refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long");
+            refuse(RequestRefusal.BODY_TOO_LONG);
             return;
         }
         if (!door.mayHold(more)) {
-            // Danger: many bodies at once would fill the memory; coming back is harmless, nothing was taken.
-            refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much at once");
+            refuse(RequestRefusal.NO_MEMORY);
             return;
         }
         if (length + more > body.length) {
@@ -227,38 +229,39 @@
             return;
         }
         if (!path.equals(PATH)) {
-            refuse(HttpResponseStatus.NOT_FOUND, "nothing here");
+            refuse(RequestRefusal.NOT_FOUND);
             return;
         }
         if (!request.method().name().equals("POST")) {
-            refuse(HttpResponseStatus.METHOD_NOT_ALLOWED, "POST is expected");
+            refuse(RequestRefusal.OTHER_METHOD);
             return;
         }
         RequestHead asked;
         try {
             asked = RequestHead.read(request.headers());
         } catch (RequestHead.BadHead e) {
-            refuse(HttpResponseStatus.BAD_REQUEST, e.getMessage());
+            refuse(RequestRefusal.BAD_HEADER, e.getMessage());
             return;
         }
         Offer offer = door.offers.get(asked.product());
         if (offer == null) {
-            refuse(HttpResponseStatus.BAD_REQUEST, "Req-Kind: no such class");
+            refuse(RequestRefusal.NO_SUCH_CLASS);
             return;
         }
         if (length == 0) {
-            refuse(HttpResponseStatus.BAD_REQUEST, "a body is expected");
+            refuse(RequestRefusal.NO_BODY);
             return;
         }
         if (!door.front.enter()) {
             drop();
-            answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much at once", 0, !HttpUtil.isKeepAlive(request));
+            RequestRefusal refusal = RequestRefusal.NOT_ADMITTED;
+            door.refused(refusal);
+            answer(refusal.status, refusal.message, 0, !HttpUtil.isKeepAlive(request));
             return;
         }
         if (!door.takeId(asked.id())) {
-            // Danger: a second request under an open one's id would be its second copy, and its release the other's.
             door.front.leave();
-            refuse(HttpResponseStatus.CONFLICT, "Req-Id: was used before");
+            refuse(RequestRefusal.ID_USED);
             return;
         }
         Passage passage = new Passage("POST", target, asked.id(), ForwardedHeaders.of(request.headers()), body(),
@@ -276,10 +279,11 @@
             return;
         }
         try {
+            door.events.accepted(asked.id(), offer.product, passage.limitMs());
             door.front.take(Ask.passing(offer, door.site.guest, passage, asked.promptToks(), asked.sharedToks(),
                     asked.maxToks(), asked.prefix(), asked.session(), asked.resent(), asked.deadlineMs(),
                     door.ground.nowMs() - receivedMs), own, open -> own.open = open);
-        } catch (RuntimeException | OutOfMemoryError e) {
+        } catch (RuntimeException | Error e) {
             // Without this the client would wait for an answer that nobody owes it any more.
             LOG.atError().addKeyValue("id", asked.id()).setCause(e).log("a request could not be taken");
             own.terminated(Client.Cause.INTERNAL, false);
@@ -299,9 +303,15 @@
     }
 
     /** An error that ends the connection: what follows can't be trusted. */
-    private void refuse(HttpResponseStatus status, String why) {
+    private void refuse(RequestRefusal refusal) {
+        refuse(refusal, refusal.message);
+    }
+
+    private void refuse(RequestRefusal refusal, String message) {
+        door.refused(refusal);
+        closeReason = refusal == RequestRefusal.TOO_SLOW ? CloseReason.REQUEST_TIMEOUT : CloseReason.BAD_INPUT;
         dropAll();
-        answer(status, why, 0, true);
+        answer(refusal.status, message, 0, true);
     }
 
     private void answer(HttpResponseStatus status, String why, double comeBackMs, boolean last) {
@@ -317,7 +327,7 @@
         if (last || isLastAnswer()) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             channel.writeAndFlush(response);
-            halfClose();
+            halfClose(CloseReason.LAST_ANSWER);
         } else {
             channel.writeAndFlush(response);
             rest();
@@ -342,7 +352,7 @@
             }
         }
         if (exchange == null && !over && (overrun || isLastAnswer())) {
-            closeGracefully();
+            closeGracefully(overrun ? CloseReason.SENT_AHEAD : CloseReason.SHUTDOWN);
         }
     }
 
@@ -366,16 +376,16 @@
     /** The regular look: a request that does not come, or not to its end, and a rest that is too long. */
     void checkTimeouts(double now) {
         if (now - endedMs > door.bounds.lingerMs()) {
-            channel.close();
+            closeNow(CloseReason.LINGER_OVER);
         }
         if (over || exchange != null) {
             return;
         }
         boolean receiving = decoder.isReceiving();
         if (isRequestOverdue(now, receiving)) {
-            refuse(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time");
+            refuse(RequestRefusal.TOO_SLOW);
         } else if (head == null && !receiving && now - idleSinceMs > door.bounds.idleMs()) {
-            closeGracefully();
+            closeGracefully(CloseReason.IDLE);
         }
     }
 
@@ -398,18 +408,26 @@
      */
     void closeIfServed() {
         if (served && !hasLeft() && !over && exchange == null && !decoder.isReceiving()) {
-            closeGracefully();
+            closeGracefully(CloseReason.SHUTDOWN);
+        }
+    }
+
+    /** The first reason counts; what follows from it is no reason of its own. */
+    private void noteReason(CloseReason reason) {
+        if (closeReason == null) {
+            closeReason = reason;
         }
     }
 
     /** Ends a connection without a request. */
-    void closeGracefully() {
+    void closeGracefully(CloseReason reason) {
         dropAll();
-        halfClose();
+        halfClose(reason);
     }
 
     /** Ends a connection at once, whatever is unread. */
-    void closeNow() {
+    void closeNow(CloseReason reason) {
+        noteReason(reason);
         over = true;
         channel.close();
     }
@@ -418,7 +436,8 @@
      * Says that nothing more comes, reads on until the client has ended its side too, or for a while, and closes.
      * Danger: a close over bytes that were not read resets the connection, and the answer before it may go with them.
      */
-    private void halfClose() {
+    private void halfClose(CloseReason reason) {
+        noteReason(reason);
         over = true;
         if (!Double.isNaN(endedMs)) {
             return;
@@ -429,7 +448,7 @@
             if (channel instanceof DuplexChannel duplex && done.isSuccess()) {
                 duplex.shutdownOutput();
             } else {
-                channel.close();
+                closeNow(CloseReason.IO_FAILURE);
             }
         });
     }
@@ -437,6 +456,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         door.left(this);
+        door.closed(closeReason == null ? CloseReason.PEER : closeReason);
         dropAll();
         if (exchange != null) {
             exchange.clientLeft();
@@ -456,7 +476,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        channel.close();
+        if (!(cause instanceof IOException)) {
+            LOG.atError().setCause(cause).log("a client's connection is closed, since what came on it could not be handled");
+        }
+        closeNow(CloseReason.IO_FAILURE);
     }
 
     // ------------------------------------------------------------------ answers
@@ -491,6 +514,7 @@
 
         void clientLeft() {
             if (!done) {
+                door.events.clientClosed(id);
                 if (open != null) {
                     open.gone();
                 }
@@ -541,9 +565,10 @@
             if (!finish()) {
                 return;
             }
+            door.events.answered(id, "streamed");
             if (saidClose || isLastAnswer()) {
                 channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-                halfClose();
+                halfClose(CloseReason.LAST_ANSWER);
             } else {
                 channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
                 rest();
@@ -553,6 +578,7 @@
         @Override
         public void throttled(double comeBackMs) {
             if (finish()) {
+                door.events.answered(id, "throttled");
                 answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "not now", comeBackMs, last);
             }
         }
@@ -562,6 +588,7 @@
             if (begun) {
                 cut();
             } else if (finish()) {
+                door.events.answered(id, cause.name());
                 answer(cause == Cause.TIME_UP ? HttpResponseStatus.GATEWAY_TIMEOUT
                         : cause == Cause.UNUSABLE ? HttpResponseStatus.BAD_REQUEST
                         : HttpResponseStatus.INTERNAL_SERVER_ERROR, "failed", 0, last || cause == Cause.UNUSABLE);
@@ -571,8 +598,9 @@
         @Override
         public void cut() {
             if (finish()) {
+                door.events.answered(id, "cut");
                 // Without the last chunk, so that nobody takes it for whole.
-                halfClose();
+                halfClose(CloseReason.STREAM_CUT);
             }
         }
     }
--- a/src/main/java/larchridge/node/door/Door.java
+++ b/src/main/java/larchridge/node/door/Door.java
@@ -16,11 +16,17 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Stream;
+import larchridge.audit.CloseReason;
+import larchridge.audit.ConnectionSide;
+import larchridge.audit.RequestEvents;
 import larchridge.front.Front;
 import larchridge.front.Ground;
+import larchridge.metrics.Meters;
 import larchridge.site.Offer;
 import larchridge.site.Site;
 import larchridge.state.Product;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Clients' side of a node: the listener, its connections and their bounds. What one connection says is read by its
@@ -30,12 +36,15 @@
     private static final int IDS = 4096;
     private static final double CHECK_MS = 200;
     private static final double EMPTY_LOOK_MS = 20;
+    private static final Logger LOG = LoggerFactory.getLogger(Door.class);
 
     final Front front;
     final Site site;
     final Map<String, Offer> offers = new HashMap<>();
     final DoorBounds bounds;
     final Ground ground;
+    final RequestEvents events;
+    private final Meters meters;
     private final EventLoopGroup loop;
     private final ByteBufAllocator buffers;
     /** Connections without a request, longest first. */
@@ -55,7 +64,9 @@
     private boolean shut;
 
     public Door(EventLoopGroup loop, ByteBufAllocator buffers, Ground ground, Front front, Site site,
-                Collection<Product> products, DoorBounds bounds) {
+                Collection<Product> products, DoorBounds bounds, RequestEvents events, Meters meters) {
+        this.events = events;
+        this.meters = meters;
         this.loop = loop;
         this.buffers = buffers;
         this.ground = ground;
@@ -137,6 +148,16 @@
         return all.size();
     }
 
+    /** Ids of requests that are open. */
+    public int openIds() {
+        return openIds.size();
+    }
+
+    /** Bytes of bodies in memory. */
+    public long heldBytes() {
+        return heldBytes;
+    }
+
     // ------------------------------------------------------------------ connections
 
     /** Takes a client's connection. */
@@ -161,7 +182,7 @@
         ClientConnection client = Stream.of(ending, idle, receiving).flatMap(Set::stream)
                 .filter(one -> one != newest).findFirst().orElse(newest);
         left(client);
-        client.closeNow();
+        client.closeNow(CloseReason.NO_ROOM);
     }
 
     /** The connection has an open request. */
@@ -204,6 +225,17 @@
         all.remove(client);
     }
 
+    /** A connection has ended. */
+    void closed(CloseReason reason) {
+        events.connectionClosed(ConnectionSide.CLIENT, reason);
+    }
+
+    /** A request was refused before it was taken. */
+    void refused(RequestRefusal refusal) {
+        meters.refused(refusal.tag());
+        LOG.atDebug().addKeyValue("reason", refusal).log("request refused");
+    }
+
     private void checkTimeouts() {
         double now = ground.nowMs();
         for (ClientConnection client : List.copyOf(all)) {
--- a/src/main/java/larchridge/node/link/PassageLink.java
+++ b/src/main/java/larchridge/node/link/PassageLink.java
@@ -33,11 +33,15 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import larchridge.audit.CloseReason;
+import larchridge.audit.ConnectionSide;
+import larchridge.audit.RequestEvents;
 import larchridge.enginelink.Ending;
 import larchridge.enginelink.EngineLink;
 import larchridge.enginelink.Hearing;
 import larchridge.enginelink.Order;
 import larchridge.enginelink.Passage;
+import larchridge.enginelink.SendRefusal;
 import larchridge.enginelink.Spot;
 import larchridge.enginelink.StateHandle;
 import larchridge.front.Ground;
@@ -69,6 +73,7 @@
     private final Opener opener;
     private final Map<Spot, Pool> pools = new LinkedHashMap<>();
     private final StateReleases releases;
+    private final RequestEvents events;
     private List<Spot> spots = List.of();
     private int connections;
 
@@ -80,12 +85,19 @@
         ChannelFuture open(Spot spot, ChannelInitializer<Channel> handlers);
     }
 
-    public PassageLink(EventLoop loop, Ground ground, ByteBufAllocator buffers, LinkBounds bounds) {
-        this(ground, bounds, sockets(loop, buffers, bounds));
+    public PassageLink(EventLoop loop, Ground ground, ByteBufAllocator buffers, LinkBounds bounds,
+                       RequestEvents events) {
+        this(ground, bounds, sockets(loop, buffers, bounds), events);
     }
 
     /** A link whose connections are made otherwise. */
     public PassageLink(Ground ground, LinkBounds bounds, Opener opener) {
+        this(ground, bounds, opener, RequestEvents.IGNORED);
+    }
+
+    /** A link whose connections are made otherwise, and whose events go to a watcher. */
+    public PassageLink(Ground ground, LinkBounds bounds, Opener opener, RequestEvents events) {
+        this.events = events;
         this.ground = ground;
         this.bounds = bounds;
         this.opener = opener;
@@ -179,17 +191,18 @@
         if (oldest == null || oldest.oldestMs() == Double.POSITIVE_INFINITY) {
             return false;
         }
-        oldest.closeOld(oldest.oldestMs());
+        oldest.closeOld(oldest.oldestMs(), CloseReason.NO_ROOM);
         return connections < bounds.connections();
     }
 
-    void closed() {
+    void closed(CloseReason reason) {
         connections--;
+        events.connectionClosed(ConnectionSide.ENGINE, reason);
     }
 
     private void closeOld() {
         double now = ground.nowMs();
-        pools.values().forEach(pool -> pool.closeOld(now - pool.idleLimitMs()));
+        pools.values().forEach(pool -> pool.closeOld(now - pool.idleLimitMs(), CloseReason.IDLE));
         pools.values().removeIf(pool -> pool.isEmpty() && !spots.contains(pool.spot));
     }
 
@@ -219,8 +232,7 @@
         Attempt attempt = new Attempt(order, hearing, reads, held, pool);
         attempt.wire = start(pool, attempt);
         if (attempt.wire == null) {
-            attempt.verdict.unfit();
-            attempt.endLater();
+            attempt.refuse(SendRefusal.NO_CONNECTION);
         }
         return attempt;
     }
@@ -233,13 +245,15 @@
         private final HeldState state;
         private final Pool pool;
         private final Verdict verdict = new Verdict();
-        private final EventCutter events = new EventCutter(EVENT_BYTES, LOAD);
+        private final EventCutter cutter = new EventCutter(EVENT_BYTES, LOAD);
         private Wire wire;
         private boolean begun;
         private boolean over;
         private boolean held;
         private Report report;
         private ByteArrayOutputStream note;
+        /** The number under which its events are told, or -1 as long as it is not written. */
+        private int number = -1;
 
         Attempt(Order order, Hearing hearing, boolean reads, HeldState state, Pool pool) {
             this.order = order;
@@ -253,10 +267,9 @@
         public FullHttpRequest request() {
             Passage passage = order.passage();
             double left = passage.limitMs() - ground.nowMs();
-            // Danger: between the choice and this moment the engine may have been told to drain, or the time be up.
-            if (over || !order.stillMay().getAsBoolean() || left < 1) {
-                verdict.unfit();
-                endLater();
+            SendRefusal refusal = over ? SendRefusal.CALLED_OFF : left < 1 ? SendRefusal.TIME_UP : order.check().refusal();
+            if (refusal != null) {
+                refuse(refusal);
                 return null;
             }
             FullHttpRequest request = PassageLink.request(order.spot(), HttpMethod.valueOf(passage.method()),
@@ -267,9 +280,19 @@
             }
             request.headers().set(ID, passage.id()).set(LEFT, Long.toString((long) left))
                     .set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(passage.body().length));
+            number = events.attemptWritten(passage.id(), order.spot(), reads, (long) left);
             return request;
         }
 
+        /** It is not written, for a reason that says nothing about the engine. */
+        private void refuse(SendRefusal reason) {
+            verdict.unfit();
+            if (!over) {
+                hearing.notSent(reason);
+            }
+            endLater();
+        }
+
         @Override
         public void written() {
             verdict.written();
@@ -294,32 +317,34 @@
             if (verdict.status() != 200) {
                 return true;
             }
-            byte[] whole = events.feed(some);
+            byte[] whole = cutter.feed(some);
             if (whole != null) {
                 if (!begun) {
                     begun = true;
                     releases.answerBegan(state);
+                    events.begun(state.requestId, number);
                     hearing.begun();
                 }
                 if (!over) {
                     hearing.events(whole);
                 }
             }
-            return !events.isNoise();
+            return !cutter.isNoise();
         }
 
         @Override
         public boolean whole() {
             if (verdict.status() == 200) {
-                if (events.isWhole()) {
+                if (cutter.isWhole()) {
                     verdict.whole();
                 }
-                report = events.report() != null ? loads.read(events.report()) : report;
+                report = cutter.report() != null ? loads.read(cutter.report()) : report;
             } else if (verdict.status() == 202 && reads && !over) {
                 JsonNode kept = keptNote();
                 if (kept != null) {
                     over = true;
                     leavePool();
+                    events.read(state.requestId, number);
                     releases.readEnded(state);
                     hearing.read(WAITING, kept.intValue(), 0, report);
                     return true;
@@ -327,7 +352,7 @@
                 verdict.garbled();
             }
             end();
-            return verdict.status() != 200 || events.isWhole();
+            return verdict.status() != 200 || cutter.isWhole();
         }
 
         private JsonNode keptNote() {
@@ -360,9 +385,10 @@
         @Override
         public void notConnected(ConnectFailure failure) {
             if (failure == ConnectFailure.LOCAL) {
-                verdict.unfit();
+                refuse(SendRefusal.LOCAL_FAULT);
+            } else {
+                endLater();
             }
-            endLater();
         }
 
         @Override
@@ -419,8 +445,11 @@
                 hearing.unusable();
             }
             leavePool();
-            releases.attemptEnded(state, verdict.status() != 0);
-            hearing.ended(verdict.outcome(), report, new Ending(Ending.Why.END_OF_TURN, null, -1, 0));
+            Outcome outcome = verdict.outcome();
+            boolean heard = verdict.status() != 0;
+            events.ended(state.requestId, number, outcome.name(), outcome.neverRan, heard);
+            releases.attemptEnded(state, heard);
+            hearing.ended(outcome, report, new Ending(Ending.Why.END_OF_TURN, null, -1, 0));
         }
 
         private void leavePool() {
@@ -443,7 +472,12 @@
         @Override
         public void release(Spot spot, String requestId, double limitMs, Consumer<CallResult> told) {
             new SmallCall(spot, HttpMethod.DELETE, "/v1/holds/" + requestId, limitMs,
-                    (result, call) -> told.accept(result)).go();
+                    (result, call) -> {
+                        if (result == CallResult.ANSWERED) {
+                            events.released(requestId);
+                        }
+                        told.accept(result);
+                    }).go();
         }
 
         @Override
--- a/src/main/java/larchridge/node/link/Pool.java
+++ b/src/main/java/larchridge/node/link/Pool.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.Set;
+import larchridge.audit.CloseReason;
 import larchridge.enginelink.Spot;
 
 /** The connections to one address. Those that rest are used newest first, so that the rest grow old and are closed. */
@@ -11,6 +12,8 @@
     private static final double REST_MS = 3;
     /** Of the time after which an engine closes; the rest is for what is on its way. */
     private static final double IDLE_PART = 0.8;
+    /** A process may be held up for so long between taking a connection from its rest and writing to it. */
+    private static final double HELD_UP_MS = 150;
 
     final Spot spot;
     private final PassageLink link;
@@ -66,7 +69,7 @@
      */
     void putBack(Wire wire) {
         if (!wire.isUsable()) {
-            wire.close();
+            wire.close(CloseReason.PEER);
             return;
         }
         ArrayDeque<Wire> newer = new ArrayDeque<>();
@@ -77,10 +80,10 @@
         newer.forEach(idle::addFirst);
     }
 
-    void lost(Wire wire) {
+    void lost(Wire wire, CloseReason reason) {
         if (all.remove(wire)) {
             idle.remove(wire);
-            link.closed();
+            link.closed(reason);
         }
     }
 
@@ -89,9 +92,9 @@
     }
 
     /** Closes those that have rested since then or longer. */
-    void closeOld(double sinceMs) {
+    void closeOld(double sinceMs, CloseReason reason) {
         while (!idle.isEmpty() && idle.peekLast().idleSinceMs <= sinceMs) {
-            idle.pollLast().close();
+            idle.pollLast().close(reason);
         }
     }
 
@@ -105,10 +108,11 @@
     }
 
     void closeAll() {
-        Set.copyOf(all).forEach(Wire::close);
+        Set.copyOf(all).forEach(wire -> wire.close(CloseReason.SHUTDOWN));
     }
 
     double idleLimitMs() {
-        return link.bounds().keepAliveMs() * IDLE_PART;
+        double keepAliveMs = link.bounds().keepAliveMs();
+        return Math.min(keepAliveMs * IDLE_PART, keepAliveMs - HELD_UP_MS);
     }
 }
--- a/src/main/java/larchridge/node/link/Wire.java
+++ b/src/main/java/larchridge/node/link/Wire.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import larchridge.audit.CloseReason;
 import larchridge.node.transport.ConnectFailure;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -32,6 +33,8 @@
     /** The answer is whole and the connection may be used again when this read is over. */
     private boolean resting;
     private boolean gone;
+    /** Why it ends; the peer ends it as long as nobody here does. */
+    private CloseReason closeReason = CloseReason.PEER;
     double idleSinceMs;
 
     Wire(Pool pool, Call call) {
@@ -67,7 +70,7 @@
                 written = true;
                 next.written();
             } else {
-                channel.close();
+                close(CloseReason.IO_FAILURE);
             }
         });
     }
@@ -75,10 +78,11 @@
     /** The call is given up: the connection ends, and nothing more is told. */
     void drop() {
         call = null;
-        close();
+        close(CloseReason.CALLED_OFF);
     }
 
-    void close() {
+    void close(CloseReason reason) {
+        closeReason = reason;
         if (channel != null) {
             channel.close();
         }
@@ -97,7 +101,7 @@
                 // Danger: an answer that nobody asked for would be taken for the next request's.
                 resting = false;
                 call = null;
-                close();
+                close(CloseReason.BAD_INPUT);
                 return;
             }
             take((HttpObject) message);
@@ -136,7 +140,7 @@
                 resting = ended.whole() && clean;
                 call = resting ? call : null;
                 if (!resting) {
-                    close();
+                    close(CloseReason.LAST_ANSWER);
                 }
             }
         }
@@ -146,7 +150,7 @@
         LOG.debug("an answer of {} can't be read: {}", pool.spot, why);
         Call ended = call;
         call = null;
-        close();
+        close(CloseReason.BAD_INPUT);
         if (ended != null) {
             ended.garbled();
         }
@@ -171,7 +175,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (cause instanceof java.io.IOException) {
-            close();
+            close(CloseReason.IO_FAILURE);
         } else {
             spoilt(cause);
         }
@@ -187,6 +191,7 @@
 
     /** The connection never came up. */
     void notConnected(ConnectFailure failure) {
+        closeReason = CloseReason.NOT_CONNECTED;
         Call ended = leave();
         if (ended != null) {
             ended.notConnected(failure);
@@ -199,7 +204,7 @@
             return null;
         }
         gone = true;
-        pool.lost(this);
+        pool.lost(this, closeReason);
         Call ended = resting ? null : call;
         call = null;
         return ended;
--- a/src/main/java/larchridge/state/Gen.java
+++ b/src/main/java/larchridge/state/Gen.java
@@ -37,6 +37,8 @@
     /** The readers that hashes name for it, best first, by which list. */
     public final List<Engine> homes = new ArrayList<>(4);
     public int homesOfList = -1;
+    /** Why it was given up, or null. */
+    public GiveUpReason givenUp;
     /** A draw between 0 and 1 that stays with it. */
     public double chance;
     /** The fewest tokens that any reader must read for it. */
--- a/src/main/java/larchridge/virtual/Town.java
+++ b/src/main/java/larchridge/virtual/Town.java
@@ -457,7 +457,7 @@
             job = new Job(order.rid(), kind, talk.prompt, Math.min(order.maxToks(), talk.length));
             job.owner = this;
             world.in(0, () -> {
-                if (!isOver && !order.stillMay().getAsBoolean()) {
+                if (!isOver && order.check().refusal() != null) {
                     over(Outcome.NOT_SENT);
                 } else {
                     world.in(ms, () -> seat.arrive(this));
--- a/src/test/java/larchridge/enginelink/Wire.java
+++ b/src/test/java/larchridge/enginelink/Wire.java
@@ -89,7 +89,7 @@
 
     EngineLink.Flight send(boolean read, boolean mayBeSent) throws Exception {
         Order order = new Order("g.0", spot, "m", "p", 4, List.of(), new Order.Sampling(null, null, null), null, null, null,
-                () -> mayBeSent);
+                () -> mayBeSent ? null : larchridge.enginelink.SendRefusal.ENGINE_LEFT);
         Hearing ears = new Hearing() {
             @Override
             public void read(StateHandle state, int keptToks, int promptToks, Report told2) {
--- a/src/test/java/larchridge/node/DescriptorExhaustionTest.java
+++ b/src/test/java/larchridge/node/DescriptorExhaustionTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -93,7 +94,13 @@
         client.send(Scene.ask(Scene.id(), ""));
         TimeUnit.MILLISECONDS.sleep(500);
         closeAll(clients);
-        String head = client.until("\r\n\r\n");
+        client.socket.setSoTimeout(8000);
+        String head;
+        try {
+            head = client.until("\r\n\r\n");
+        } catch (SocketTimeoutException e) {
+            throw new AssertionError("no answer; the node's log: " + node.log(), e);
+        }
         assertTrue(head != null && head.startsWith("HTTP/1.1 200 "), head);
         assertEquals(1, node.writer.posts());
         client.close();
--- a/src/test/java/larchridge/node/SceneTest.java
+++ b/src/test/java/larchridge/node/SceneTest.java
@@ -1,5 +1,7 @@
 package larchridge.node;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import java.nio.file.Path;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -19,5 +21,6 @@
     @AfterEach
     void close() throws Exception {
         scene.close();
+        assertEquals(0, scene.node.violations(), "invariants violated; the log has the requests");
     }
 }
--- a/src/test/java/larchridge/node/link/ConnectionTest.java
+++ b/src/test/java/larchridge/node/link/ConnectionTest.java
@@ -17,6 +17,7 @@
 import larchridge.enginelink.Hearing;
 import larchridge.enginelink.Order;
 import larchridge.enginelink.Passage;
+import larchridge.enginelink.SendRefusal;
 import larchridge.enginelink.Spot;
 import larchridge.enginelink.StateHandle;
 import larchridge.front.World;
@@ -78,7 +79,8 @@
 
     private EngineLink.Flight read(String id, boolean stillMay, Heard heard) {
         Passage passage = new Passage("POST", "/v1/chat/completions", id, List.of(), new byte[] {'{', '}'}, time.nowMs() + 60_000);
-        return link.read(new Order(id + ".0", SPOT, "", "", 10, List.of(), null, null, null, passage, () -> stillMay), heard);
+        return link.read(new Order(id + ".0", SPOT, "", "", 10, List.of(), null, null, null, passage,
+                () -> stillMay ? null : SendRefusal.ENGINE_LEFT), heard);
     }
 
     private void run(double ms) {
