--- a/src/main/java/larchridge/node/Node.java
+++ b/src/main/java/larchridge/node/Node.java
@@ -1,6 +1,5 @@
 package larchridge.node;
 
-import io.micrometer.core.instrument.composite.CompositeMeterRegistry;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.EventLoop;
@@ -49,6 +48,8 @@
     private static final double BODIES_PART = 0.2;
     private static final int OPEN_BYTES = 16 << 10;
     private static final double REQUEST_MS = 2000;
+    /** A client that stops in the middle is owed its error 3 s after it connected; the rest is for the look that sees it. */
+    private static final double WHOLE_REQUEST_MS = 2600;
     /** A client has this long to read an answer and end its side, before what it still sends ends the connection. */
     private static final double LINGER_MS = 1000;
     /** Nobody is left waiting on a stream for longer, though the platform allows a little more. */
@@ -63,8 +64,15 @@
     /** Without a list from discovery for so long, a node serves by the one it was started with. */
     private static final double FIRST_LIST_MS = 1500;
     private static final double PICTURE_MS = 1000;
-    /** For so long after the word to end, clients may still come. */
-    private static final double COMING_MS = 750;
+    /**
+     * For so long after the word to end, clients may still come. What comes later than 0.7 s after it must not be found under
+     * way when the process is killed; the word itself may be handled 0.15 s late.
+     */
+    private static final double COMING_MS = 500;
+    /** A configuration that can't be read is read again after a pause that doubles, for so long in all. */
+    private static final double READ_AGAIN_MS = 100;
+    private static final double READ_AGAIN_MOST_MS = 2000;
+    private static final double READ_AGAIN_FOR_MS = 60_000;
 
     private final Map<String, String> variables;
     private final NodeFile file;
@@ -75,12 +83,15 @@
     private final ByteBufAllocator buffers = new PooledByteBufAllocator(true, 1, 1, PAGE_BYTES, CHUNK_ORDER,
             64, 32, true);
     private final LoopGround ground;
+    private NodeAudit audit;
     private PassageLink link;
     private Front front;
     private Door door;
     private DiscoveryClient discoveryClient;
     /** Set on the loop; the thread that starts the node looks at it. */
     private volatile boolean ending;
+    /** Signals for a new configuration so far; a newer one takes the place of one whose file can't be read yet. */
+    private int configurations;
 
     private Node(Map<String, String> variables, NodeFile file) {
         this.variables = variables;
@@ -172,6 +183,11 @@
         return loop.submit(link::openRequests).get();
     }
 
+    /** Violations of invariants so far; on any thread. */
+    long violations() {
+        return audit == null ? 0 : audit.violationsSoFar();
+    }
+
     /** Attempts out by the module's count, or -1 if the link's count differs at any engine. */
     int attemptsOut() throws InterruptedException, ExecutionException {
         return loop.submit(() -> {
@@ -228,12 +244,16 @@
             site.limit.slowClientMs = SLOW_CLIENT_MS;
             site.limit.quietStreamMs = QUIET_MS;
             site.limit.stopMs = 10 * longestPatienceMs();
+            audit = new NodeAudit(ground, file.given);
+            Meters meters = audit.meters();
             link = new PassageLink(loop, ground, buffers, new LinkBounds(file.given.connectMs, file.given.keepAliveMs,
                     file.given.releaseMs, (int) (file.sockets * ENGINES_PART), (int) (file.sockets * ENGINES_PART / 2),
-                    file.given.reportFields));
-            front = new Front(ground, site, 0, link, new Meters(new CompositeMeterRegistry()), Decider::choice);
+                    file.given.reportFields), audit.events());
+            front = new Front(ground, site, 0, link, meters, Decider::choice);
+            audit.compareCounts(ground, front, link);
             door = new Door(group, buffers, ground, front, site, file.given.products.values(), new DoorBounds(
-                    (int) (file.sockets * CLIENTS_PART), BODY_BYTES, bodies, REQUEST_MS, file.given.keepAliveMs, LINGER_MS));
+                    (int) (file.sockets * CLIENTS_PART), BODY_BYTES, bodies, REQUEST_MS,
+                    WHOLE_REQUEST_MS, file.given.keepAliveMs, LINGER_MS), audit.events(), meters);
             EndpointReader reader = new EndpointReader(file.given.roles, file.given.memory);
             discoveryClient = new DiscoveryClient(loop, buffers, ground, reader, file.given.drainGraceMs, this::endpointsChanged);
             if (file.known.isObject()) {
@@ -247,7 +267,8 @@
             if (LOG.isDebugEnabled()) {
                 ground.every(PICTURE_MS, () -> LOG.debug("{}", picture()));
             }
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
+            // An error too: the thread that starts the node would else wait for what nobody makes any more.
             LOG.error("the node could not be built", e);
             door = null;
         }
@@ -277,6 +298,7 @@
         List<Spot> spots = new ArrayList<>();
         rows.forEach(row -> spots.add(new Spot(row.host(), row.port())));
         link.engines(spots);
+        audit.listed(rows);
         front.listed(rows);
     }
 
@@ -285,12 +307,17 @@
     /** A new configuration: where discovery is may have changed. What can't be read changes nothing. */
     void readAgain() {
         if (!loop.isShuttingDown()) {
-            loop.execute(this::follow);
+            loop.execute(() -> follow(++configurations, READ_AGAIN_MS, ground.nowMs() + READ_AGAIN_FOR_MS));
         }
     }
 
-    private void follow() {
-        if (discoveryClient == null) {
+    /**
+     * Follows discovery at the address in the file. A file that can't be read now may be half written, or the call for it
+     * failed for want of a descriptor: nobody signals again, and the node would stay at an address that no longer answers. So
+     * it is read again until it can be, or until a newer signal.
+     */
+    private void follow(int configuration, double pauseMs, double untilMs) {
+        if (discoveryClient == null || configuration != configurations || ended.getCount() == 0) {
             return;
         }
         try {
@@ -298,7 +325,12 @@
             LOG.atInfo().addKeyValue("discovery", changed.discovery).log("configuration read again");
             discoveryClient.follow(changed.discovery.host(), changed.discovery.port());
         } catch (BadNode e) {
-            LOG.atError().addKeyValue("fault", e.getMessage()).log("the new configuration can't be used; all stays as it was");
+            boolean again = ground.nowMs() + pauseMs < untilMs;
+            LOG.atError().addKeyValue("fault", e.getMessage()).addKeyValue("again", again)
+                    .log("the new configuration can't be used; all stays as it was");
+            if (again) {
+                ground.in(pauseMs, () -> follow(configuration, Math.min(READ_AGAIN_MOST_MS, 2 * pauseMs), untilMs));
+            }
         }
     }
 
@@ -331,7 +363,10 @@
                 discoveryClient.stop();
                 // Danger: the end of the process closes over what clients still send, and resets answers on their way.
                 door.close();
-                door.whenEmpty(ended::countDown);
+                door.whenEmpty(() -> {
+                    audit.atEnd(front, link, door);
+                    ended.countDown();
+                });
             });
         });
     }
