Failing tests: a node whose address is taken at its start neither serves nor ends

Log of node 12: Exception in thread "main" java.net.BindException: Address already in use; another listener of the rig had the port. A platform starts nodes again under the same address while the process before may still hold it.

--- a/src/test/java/larchridge/node/NodeProcess.java
+++ b/src/test/java/larchridge/node/NodeProcess.java
@@ -26,7 +26,13 @@
     private final AtomicInteger index = new AtomicInteger(1);
 
     NodeProcess(Path folder, int descriptors) throws IOException, InterruptedException {
-        port = freePort();
+        this(folder, descriptors, freePort());
+        awaitReady();
+    }
+
+    /** Starts it at an address; whether it gets ready is the caller's affair. */
+    NodeProcess(Path folder, int descriptors, int port) throws IOException {
+        this.port = port;
         Path config = folder.resolve("config.json");
         Files.writeString(config, "{\"name\":\"n1\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:"
                 + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":256,\"sockets\":"
@@ -37,7 +43,6 @@
         builder.environment().put("PROXY_CONFIG", config.toString());
         log = folder.resolve("node.log");
         process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
-        awaitReady();
     }
 
     private static int freePort() throws IOException {
@@ -46,7 +51,7 @@
         }
     }
 
-    private void awaitReady() throws IOException, InterruptedException {
+    void awaitReady() throws IOException, InterruptedException {
         long end = System.nanoTime() + START_NANOS;
         while (System.nanoTime() < end) {
             try (Scene.RawClient client = new Scene.RawClient(port)) {
