A node whose address is taken at its start tries again, and a start that fails ends the process

Cause: Netty's sync() throws the system call's BindException without declaring it; Node.start caught RuntimeException and Node.run BadNode, so it ended the starting thread alone, and the loop's thread kept the process. Door.listen tells an IOException of its own now. The address is tried every 50 ms for 15 s (the process before may not have gone yet), then the start ends with the address and exit code 1. Whatever else ends the start ends the process too.

--- a/src/main/java/larchridge/node/Node.java
+++ b/src/main/java/larchridge/node/Node.java
@@ -61,6 +61,9 @@
      */
     private static final int REHEARSED = 10;
     private static final double REHEARSAL_MS = 500;
+    /** An address that is taken is tried again after a pause, for so long in all. */
+    private static final long LISTEN_AGAIN_MS = 50;
+    private static final long LISTEN_MS = 15_000;
     /** Without a list from discovery for so long, a node serves by the one it was started with. */
     private static final double FIRST_LIST_MS = 1500;
     private static final double PICTURE_MS = 1000;
@@ -115,6 +118,10 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return 1;
+        } catch (RuntimeException | Error e) {
+            // Without this the thread would end and the loop go on: a process that neither serves nor ends.
+            LOG.error("the node could not be started", e);
+            return 1;
         }
     }
 
@@ -213,10 +220,9 @@
         if (door == null) {
             throw new BadNode("the node could not be built; the log has the cause");
         }
-        try {
-            door.listen(file.listen.host(), file.listen.port());
-        } catch (RuntimeException e) {
-            throw new BadNode("listen: " + file.listen + " can't be had (" + e.getMessage() + ")");
+        listen();
+        if (ending) {
+            return;
         }
         long start = System.nanoTime();
         int served = Rehearsal.play(REHEARSED, REHEARSAL_MS);
@@ -230,6 +236,23 @@
         LOG.atInfo().addKeyValue("name", file.name).addKeyValue("listen", file.listen).log("serving");
     }
 
+    /** The address may still be held by the process before this one, which has been killed and has not gone yet. */
+    private void listen() throws BadNode, InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LISTEN_MS);
+        while (!ending) {
+            try {
+                door.listen(file.listen.host(), file.listen.port());
+                return;
+            } catch (IOException e) {
+                if (System.nanoTime() > endNanos) {
+                    throw new BadNode("listen: " + file.listen + " can't be had (" + e.getMessage() + ")");
+                }
+                LOG.atDebug().addKeyValue("fault", e.getMessage()).log("the address can't be had yet");
+                TimeUnit.MILLISECONDS.sleep(LISTEN_AGAIN_MS);
+            }
+        }
+    }
+
     private void build() {
         if (ending) {
             return;
--- a/src/main/java/larchridge/node/door/Door.java
+++ b/src/main/java/larchridge/node/door/Door.java
@@ -3,11 +3,13 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.io.IOException;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -81,9 +83,12 @@
         ground.every(CHECK_MS, this::checkTimeouts);
     }
 
-    /** Listens; fails if the address can't be had. Not to be called on the loop. */
-    public void listen(String host, int port) throws InterruptedException {
-        Channel bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+    /**
+     * Listens; fails if the address can't be had now. Not to be called on the loop. The failure is told by this method's own
+     * exception: Netty throws that of the system call as it is, without declaring it.
+     */
+    public void listen(String host, int port) throws IOException, InterruptedException {
+        ChannelFuture binding = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
                 .handler(new AcceptFailureHandler())
                 .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.ALLOCATOR, buffers)
@@ -92,8 +97,12 @@
                     protected void initChannel(Channel channel) {
                         enter(channel);
                     }
-                }).bind(host, port).sync().channel();
-        loop.next().submit(() -> listens(bound)).sync();
+                }).bind(host, port).await();
+        if (!binding.isSuccess()) {
+            throw new IOException(binding.cause().getMessage(), binding.cause());
+        }
+        Channel bound = binding.channel();
+        loop.next().submit(() -> listens(bound)).await();
     }
 
     /** A node may be told to end while it opens its listener. */
