A soak rig: overlapping faults over real node processes, drawn from a seed, judged by traffic

larchridge faults: 24 node processes by default on loopback, simulated engines, an agent a node, a TCP proxy a node and engine (silence, cut, reset at a byte, delay, bytes in pieces, a close that crosses a request), clients that leave, stop or crowd, signals (TERM, KILL, HUP, STOP), and a preloaded C library for failing and short system calls, interrupted waits and stepped wall clocks. Scripts are YAML and play again. Judged by drill.Rules over each node's traffic and what its agent had told, by closes, stopped clients, crashes, a last look at each node, and the nodes' own invariant lines. Planted faults show what is seen. The clients' link has no proxy: clients shape what they send themselves.

--- a/src/main/java/larchridge/cli/Main.java
+++ b/src/main/java/larchridge/cli/Main.java
@@ -14,7 +14,7 @@
         subcommands = {ServeCommand.class, DemoCommand.class, EngineCommand.class, CheckCommand.class,
             DrillCommand.class, PumpCommand.class, SoakCommand.class, ExperimentCommand.class,
             SearchCommand.class, BillCommand.class, LedgerCommand.class,
-            StoreCommand.class, KillsCommand.class,
+            StoreCommand.class, KillsCommand.class, FaultsCommand.class,
             BenchlinkCommand.class, NodeCommand.class, AutoComplete.GenerateCompletion.class})
 public final class Main implements Callable<Integer> {
     @Spec
--- /dev/null
+++ b/src/main/java/larchridge/faults/FaultScripts.java
@@ -0,0 +1,24 @@
+package larchridge.faults;
+
+import java.util.Arrays;
+import java.util.List;
+
+/** Draws scripts for a machine. */
+public final class FaultScripts {
+    private FaultScripts() { }
+
+    /** The kinds asked for, all where none is, without those that need a C compiler where there is none; says what is left out. */
+    public static List<TroubleKind> playable(List<TroubleKind> asked, boolean shim) {
+        List<TroubleKind> kinds = asked.isEmpty() ? Arrays.asList(TroubleKind.values()) : asked;
+        if (!shim) {
+            System.out.println("no C compiler: system calls don't fail and clocks don't step in this run");
+        }
+        return kinds.stream().filter(kind -> shim || !kind.needsShim()).toList();
+    }
+
+    /** A script of a seed. */
+    public static FaultScript draw(long seed, int nodes, int readers, int writers, double seconds, double perSecond,
+                                   List<TroubleKind> kinds) {
+        return FaultScript.draw(seed, nodes, readers, writers, seconds, perSecond, kinds);
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/faults/RigAgent.java
@@ -0,0 +1,176 @@
+package larchridge.faults;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+
+/** One node's discovery agent: whole lists and watches. All methods run on the rig's loop. */
+final class RigAgent {
+    /** How the agent answers. */
+    enum Mood { GOOD, SILENT, RESETS, PIECES }
+
+    private static final double MOVED_CLOSES_MS = 1500;
+    private static final int PIECES = 12;
+    private static final double PIECE_MS = 8;
+
+    private final EventLoopGroup loop;
+    private final IntSupplier index;
+    private final Supplier<String> list;
+    private final Set<Watch> watches = new HashSet<>();
+    private Channel listener;
+    private final Set<Channel> connections = new HashSet<>();
+    private Mood mood = Mood.GOOD;
+    private int calls;
+
+    private record Watch(Channel channel, int after) { }
+
+    RigAgent(EventLoopGroup loop, IntSupplier index, Supplier<String> list) throws InterruptedException {
+        this.loop = loop;
+        this.index = index;
+        this.list = list;
+        listener = listen().sync().channel();
+    }
+
+    private io.netty.channel.ChannelFuture listen() {
+        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 256).childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpRequestDecoder(), new HttpObjectAggregator(1 << 16), new Handler());
+                    }
+                }).bind("127.0.0.1", 0);
+    }
+
+    int port() {
+        return ((java.net.InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    /** Calls so far. */
+    int calls() {
+        return calls;
+    }
+
+    void mood(Mood next) {
+        mood = next;
+        if (next == Mood.SILENT) {
+            // What was asked is dropped, and its connections stay open.
+            watches.clear();
+        }
+        if (next == Mood.RESETS) {
+            Set.copyOf(connections).forEach(RigAgent::reset);
+        }
+    }
+
+    /** Listens at another address; the old one takes nothing new and closes after a while. */
+    void move(Runnable moved) {
+        Channel old = listener;
+        Set<Channel> before = Set.copyOf(connections);
+        listen().addListener((io.netty.channel.ChannelFuture done) -> {
+            listener = done.channel();
+            old.close();
+            loop.next().schedule(() -> before.forEach(Channel::close), (long) MOVED_CLOSES_MS, TimeUnit.MILLISECONDS);
+            moved.run();
+        });
+    }
+
+    /** The list has changed: open watches are answered. */
+    void changed() {
+        if (mood == Mood.SILENT) {
+            return;
+        }
+        for (Watch watch : List.copyOf(watches)) {
+            if (index.getAsInt() > watch.after) {
+                watches.remove(watch);
+                answer(watch.channel);
+            }
+        }
+    }
+
+    private static void reset(Channel channel) {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        channel.close();
+    }
+
+    /** Serves one connection. */
+    private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            connections.add(context.channel());
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            calls++;
+            if (mood == Mood.SILENT) {
+                return;
+            }
+            if (mood == Mood.RESETS) {
+                reset(context.channel());
+                return;
+            }
+            QueryStringDecoder query = new QueryStringDecoder(request.uri());
+            List<String> after = query.parameters().get("after");
+            if (after == null || index.getAsInt() > Integer.parseInt(after.get(0))) {
+                answer(context.channel());
+                return;
+            }
+            Watch watch = new Watch(context.channel(), Integer.parseInt(after.get(0)));
+            watches.add(watch);
+            long waitMs = Long.parseLong(query.parameters().get("wait_ms").get(0));
+            loop.next().schedule(() -> {
+                if (watches.remove(watch) && mood != Mood.SILENT) {
+                    write(watch.channel, "{\"index\":" + index.getAsInt() + ",\"snapshot\":false,\"endpoints\":[]}");
+                }
+            }, waitMs, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            connections.remove(context.channel());
+            watches.removeIf(watch -> watch.channel == context.channel());
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
+    private void answer(Channel channel) {
+        write(channel, list.get());
+    }
+
+    private void write(Channel channel, String body) {
+        ByteBuf all = Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
+                + body.length() + "\r\n\r\n" + body, StandardCharsets.ISO_8859_1);
+        if (mood != Mood.PIECES) {
+            channel.writeAndFlush(all);
+            return;
+        }
+        int piece = Math.max(1, all.readableBytes() / PIECES);
+        for (int i = 0; all.isReadable(); i++) {
+            ByteBuf part = all.readRetainedSlice(Math.min(piece, all.readableBytes()));
+            loop.next().schedule(() -> channel.writeAndFlush(part), (long) (i * PIECE_MS * 1e6), TimeUnit.NANOSECONDS);
+        }
+        all.release();
+    }
+}
--- /dev/null
+++ b/src/main/java/larchridge/faults/RigNode.java
@@ -0,0 +1,136 @@
+package larchridge.faults;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import larchridge.audit.Violations;
+
+/** A real node process: its configuration, its signals, its log. All methods run on the rig's loop but those that say so. */
+final class RigNode {
+    /** What the rig has done to the process. */
+    enum State { STARTING, UP, TERMINATING, DOWN }
+
+    private static final int MEMORY_MB = 192;
+    private static final int SOCKETS = 600;
+    private static final long SIGNAL_SECONDS = 5;
+
+    final int number;
+    final int port;
+    final RigAgent agent;
+    /** Null where there is no C compiler. */
+    final Shim shim;
+    private final Path folder;
+    private final Path config;
+    private final Path log;
+    private final String settings;
+    private Process process;
+    State state = State.DOWN;
+    double terminatedMs = Double.NaN;
+    int starts;
+    /** A process that ended though nobody ended it. */
+    int crashes;
+    /** It has ended, and will be started again. */
+    boolean restarting;
+
+    RigNode(int number, int port, RigAgent agent, Shim shim, Path folder, String settings) {
+        this.number = number;
+        this.port = port;
+        this.agent = agent;
+        this.shim = shim;
+        this.folder = folder;
+        this.settings = settings;
+        config = folder.resolve("node" + number + ".json");
+        log = folder.resolve("node" + number + ".log");
+    }
+
+    /** Writes the configuration with the agent's address as it is now. */
+    void configure(String list) throws IOException {
+        Files.writeString(config, "{\"name\":\"n" + number + "\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:"
+                + agent.port() + "\",\"seed\":\"" + Integer.toHexString(1000 * number + starts) + "\",\"limits\":{\"cores\":1.0,"
+                + "\"memory_mb\":" + MEMORY_MB + ",\"sockets\":" + SOCKETS + "},\"known\":" + list + ",\"settings\":" + settings
+                + "}");
+    }
+
+    /** Leaves half a configuration in the place of the good one. */
+    void breakConfiguration() throws IOException {
+        String good = Files.readString(config);
+        Files.writeString(config, good.substring(0, good.length() / 2));
+    }
+
+    void start() throws IOException {
+        starts++;
+        state = State.STARTING;
+        terminatedMs = Double.NaN;
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        ProcessBuilder builder = new ProcessBuilder(java, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss256k",
+                "-Xmx" + MEMORY_MB * 3 / 10 + "m", "-XX:MaxDirectMemorySize=" + MEMORY_MB / 10 + "m",
+                "-XX:ReservedCodeCacheSize=24m", "-XX:MaxMetaspaceSize=48m", "-Djava.net.preferIPv4Stack=true", "-cp",
+                System.getProperty("java.class.path"), "larchridge.cli.Main", "node");
+        Map<String, String> environment = builder.environment();
+        environment.put("PROXY_CONFIG", config.toString());
+        environment.putIfAbsent("LARCHRIDGE_LOG", "DEBUG");
+        if (shim != null) {
+            shim.addTo(environment);
+        }
+        process = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
+    }
+
+    boolean isAlive() {
+        return process != null && process.isAlive();
+    }
+
+    void terminate(double nowMs) {
+        state = State.TERMINATING;
+        terminatedMs = nowMs;
+        process.destroy();
+    }
+
+    void kill() {
+        state = State.DOWN;
+        process.destroyForcibly();
+    }
+
+    /** Sends a signal by name. */
+    void signal(String name) {
+        if (!isAlive()) {
+            return;
+        }
+        try {
+            Process sender = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start();
+            sender.waitFor(SIGNAL_SECONDS, TimeUnit.SECONDS);
+        } catch (IOException e) {
+            throw new IllegalStateException("signals can't be sent", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Waits for the end of the process; not on the loop. */
+    boolean awaitEnd(long ms) throws InterruptedException {
+        return process == null || process.waitFor(ms, TimeUnit.MILLISECONDS);
+    }
+
+    /** Lines of the log that tell of a fault in the node: violated invariants, steps that failed. */
+    List<String> faults() throws IOException {
+        if (!Files.exists(log)) {
+            return List.of();
+        }
+        List<String> faults = new ArrayList<>();
+        try (Stream<String> lines = Files.lines(log, java.nio.charset.StandardCharsets.ISO_8859_1)) {
+            lines.filter(line -> line.contains(Violations.MESSAGE) || line.contains("a step on the loop failed")
+                    || line.contains("the decision module failed") || line.contains("could not be taken")
+                    || line.contains("could not be handled") || line.contains("OutOfMemoryError"))
+                    .forEach(line -> faults.add("node " + number + ": " + line));
+        }
+        return faults;
+    }
+
+    Path folder() {
+        return folder;
+    }
+}
