Ledger: after a failed write the database is opened anew, so that what waits is written

Cause: a failed write or sync leaves RocksDB in an error that no later write ends; the writer tried the same database again for good, the queue filled, and fronts turned everybody away until the next start. Mend: LedgerDatabase (from Ledger) is closed and opened again when a commit fails; the torn tail is dropped, the batch is written whole, records are joined by id, so that none counts twice. The store of batches has not been looked at for the same.

--- a/src/main/java/larchridge/ledger/Ledger.java
+++ b/src/main/java/larchridge/ledger/Ledger.java
@@ -11,17 +11,13 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 import larchridge.ledger.form.TotalForm;
 import larchridge.ledger.form.UsageForm;
 import org.jctools.queues.MpscBlockingConsumerArrayQueue;
-import org.rocksdb.ColumnFamilyDescriptor;
 import org.rocksdb.ColumnFamilyHandle;
-import org.rocksdb.ColumnFamilyOptions;
-import org.rocksdb.DBOptions;
-import org.rocksdb.RocksDB;
 import org.rocksdb.RocksDBException;
 import org.rocksdb.RocksIterator;
-import org.rocksdb.WALRecoveryMode;
 import org.rocksdb.WriteBatch;
 import org.rocksdb.WriteOptions;
 import org.slf4j.Logger;
@@ -37,17 +33,12 @@
     private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
     private static final int BATCH = 1024;
     private static final long AGAIN_MS = 200;
-    private static final byte[] USAGES = "usages".getBytes(StandardCharsets.UTF_8);
-    private static final byte[] TOTALS = "totals".getBytes(StandardCharsets.UTF_8);
-
-    static {
-        RocksDB.loadLibrary();
-    }
-
-    private final RocksDB db;
-    private final DBOptions options;
-    private final ColumnFamilyOptions familyOptions = new ColumnFamilyOptions();
-    private final List<ColumnFamilyHandle> families = new ArrayList<>();
+    private final Path folder;
+    private final boolean writes;
+    /** Guards the database, which the writer opens anew after a failure. */
+    private final Object databaseLock = new Object();
+    /** Null while it can't be opened. */
+    private LedgerDatabase database;
     private final MpscBlockingConsumerArrayQueue<Entry> queue;
     private final int bound;
     private final Thread writer;
@@ -58,14 +49,9 @@
     private Ledger(Path folder, int bound, boolean write) throws RocksDBException {
         this.bound = bound;
         queue = new MpscBlockingConsumerArrayQueue<>(Math.max(2, bound));
-        options = new DBOptions().setCreateIfMissing(write).setCreateMissingColumnFamilies(write)
-                .setWalRecoveryMode(WALRecoveryMode.TolerateCorruptedTailRecords).setMaxTotalWalSize(64 << 20)
-                .setKeepLogFileNum(2);
-        List<ColumnFamilyDescriptor> descriptors = List.of(
-                new ColumnFamilyDescriptor(RocksDB.DEFAULT_COLUMN_FAMILY, familyOptions),
-                new ColumnFamilyDescriptor(USAGES, familyOptions), new ColumnFamilyDescriptor(TOTALS, familyOptions));
-        db = write ? RocksDB.open(options, folder.toString(), descriptors, families)
-                : RocksDB.openReadOnly(options, folder.toString(), descriptors, families);
+        this.folder = folder;
+        writes = write;
+        database = LedgerDatabase.open(folder, write);
         writer = write ? new Thread(this::write, "ledger") : null;
         if (writer != null) {
             writer.start();
@@ -147,6 +133,37 @@
     }
 
     private boolean commit(List<Entry> batch) {
+        synchronized (databaseLock) {
+            return database != null && commitOpen(batch) || !closing && reopen() && commitOpen(batch);
+        }
+    }
+
+    /**
+     * After a write or sync that failed the database takes no more writes, also when the disk is well again; only opening it
+     * anew ends that. What was written in part is dropped then, and the batch is written whole.
+     */
+    private boolean reopen() {
+        try {
+            if (database != null) {
+                database.close();
+                database = null;
+            }
+            database = LedgerDatabase.open(folder, writes);
+            return true;
+        } catch (RocksDBException e) {
+            LOG.debug("the ledger can't be opened again yet", e);
+            return false;
+        }
+    }
+
+    private LedgerDatabase open() throws RocksDBException {
+        if (database == null) {
+            throw new RocksDBException("the ledger can't be opened for now");
+        }
+        return database;
+    }
+
+    private boolean commitOpen(List<Entry> batch) {
         try (WriteBatch write = new WriteBatch(); WriteOptions sync = new WriteOptions().setSync(true)) {
             Map<String, Usage> usages = new HashMap<>();
             Map<String, Total> totals = new TreeMap<>();
@@ -164,12 +181,12 @@
                 usages.put(usage.id(), now);
             }
             for (Map.Entry<String, Usage> entry : usages.entrySet()) {
-                write.put(families.get(1), entry.getKey().getBytes(StandardCharsets.UTF_8), entry.getValue().bytes());
+                write.put(database.usages(), entry.getKey().getBytes(StandardCharsets.UTF_8), entry.getValue().bytes());
             }
             for (Map.Entry<String, Total> entry : totals.entrySet()) {
-                write.put(families.get(2), entry.getKey().getBytes(StandardCharsets.UTF_8), entry.getValue().bytes());
+                write.put(database.totals(), entry.getKey().getBytes(StandardCharsets.UTF_8), entry.getValue().bytes());
             }
-            db.write(sync, write);
+            database.database().write(sync, write);
             if (failing) {
                 failing = false;
                 LOG.info("the ledger can be written again");
@@ -187,12 +204,12 @@
     // ------------------------------------------------------------------ reading
 
     private Usage usage(String id) throws RocksDBException, InvalidProtocolBufferException {
-        byte[] bytes = db.get(families.get(1), id.getBytes(StandardCharsets.UTF_8));
+        byte[] bytes = open().database().get(open().usages(), id.getBytes(StandardCharsets.UTF_8));
         return bytes == null ? null : Usage.of(id, UsageForm.parseFrom(bytes));
     }
 
     private Total total(String key) throws RocksDBException, InvalidProtocolBufferException {
-        byte[] bytes = db.get(families.get(2), key.getBytes(StandardCharsets.UTF_8));
+        byte[] bytes = open().database().get(open().totals(), key.getBytes(StandardCharsets.UTF_8));
         return bytes == null ? Total.ZERO : Total.of(TotalForm.parseFrom(bytes));
     }
 
@@ -207,7 +224,7 @@
     public Map<Line, Total> totals(YearMonth month) throws BadLedger {
         Map<Line, Total> totals = new java.util.LinkedHashMap<>();
         try {
-            each(families.get(2), (key, value) -> {
+            each(LedgerDatabase::totals, (key, value) -> {
                 String[] parts = key.split("\n", 3);
                 YearMonth of = YearMonth.parse(parts[0]);
                 if (month == null || month.equals(of)) {
@@ -223,7 +240,7 @@
     /** Tells every record, in the order of ids. */
     public void records(java.util.function.Consumer<Usage> told) throws BadLedger {
         try {
-            each(families.get(1), (key, value) -> told.accept(parsedUsage(key, value)));
+            each(LedgerDatabase::usages, (key, value) -> told.accept(parsedUsage(key, value)));
         } catch (IllegalStateException e) {
             throw new BadLedger(e.getMessage(), e);
         }
@@ -254,14 +271,16 @@
         return faults;
     }
 
-    private void each(ColumnFamilyHandle family, BiConsumer<String, byte[]> told) {
-        try (RocksIterator at = db.newIterator(family)) {
-            for (at.seekToFirst(); at.isValid(); at.next()) {
-                told.accept(new String(at.key(), StandardCharsets.UTF_8), at.value());
+    private void each(Function<LedgerDatabase, ColumnFamilyHandle> family, BiConsumer<String, byte[]> told) {
+        synchronized (databaseLock) {
+            try (RocksIterator at = open().database().newIterator(family.apply(open()))) {
+                for (at.seekToFirst(); at.isValid(); at.next()) {
+                    told.accept(new String(at.key(), StandardCharsets.UTF_8), at.value());
+                }
+                at.status();
+            } catch (RocksDBException e) {
+                throw new IllegalStateException("the ledger can't be read: " + e.getMessage(), e);
             }
-            at.status();
-        } catch (RocksDBException e) {
-            throw new IllegalStateException("the ledger can't be read: " + e.getMessage(), e);
         }
     }
 
@@ -284,8 +303,8 @@
     /** Merges the files on disk; takes a while. */
     public void compact() throws BadLedger {
         try {
-            for (ColumnFamilyHandle family : families) {
-                db.compactRange(family);
+            synchronized (databaseLock) {
+                open().compact();
             }
         } catch (RocksDBException e) {
             throw new BadLedger("not compacted: " + e.getMessage(), e);
@@ -303,9 +322,10 @@
                 Thread.currentThread().interrupt();
             }
         }
-        families.forEach(ColumnFamilyHandle::close);
-        db.close();
-        options.close();
-        familyOptions.close();
+        synchronized (databaseLock) {
+            if (database != null) {
+                database.close();
+            }
+        }
     }
 }
--- /dev/null
+++ b/src/main/java/larchridge/ledger/LedgerDatabase.java
@@ -0,0 +1,71 @@
+package larchridge.ledger;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.rocksdb.ColumnFamilyDescriptor;
+import org.rocksdb.ColumnFamilyHandle;
+import org.rocksdb.ColumnFamilyOptions;
+import org.rocksdb.DBOptions;
+import org.rocksdb.RocksDB;
+import org.rocksdb.RocksDBException;
+import org.rocksdb.WALRecoveryMode;
+
+/** The database of a ledger while it is open: records by id, and their sums. */
+final class LedgerDatabase implements AutoCloseable {
+    private static final byte[] USAGES = "usages".getBytes(StandardCharsets.UTF_8);
+    private static final byte[] TOTALS = "totals".getBytes(StandardCharsets.UTF_8);
+    private static final int USAGES_AT = 1;
+    private static final int TOTALS_AT = 2;
+
+    static {
+        RocksDB.loadLibrary();
+    }
+
+    private final DBOptions options;
+    private final ColumnFamilyOptions familyOptions = new ColumnFamilyOptions();
+    private final List<ColumnFamilyHandle> families = new ArrayList<>();
+    private final RocksDB database;
+
+    private LedgerDatabase(Path folder, boolean write) throws RocksDBException {
+        options = new DBOptions().setCreateIfMissing(write).setCreateMissingColumnFamilies(write)
+                .setWalRecoveryMode(WALRecoveryMode.TolerateCorruptedTailRecords).setMaxTotalWalSize(64 << 20)
+                .setKeepLogFileNum(2);
+        List<ColumnFamilyDescriptor> descriptors = List.of(
+                new ColumnFamilyDescriptor(RocksDB.DEFAULT_COLUMN_FAMILY, familyOptions),
+                new ColumnFamilyDescriptor(USAGES, familyOptions), new ColumnFamilyDescriptor(TOTALS, familyOptions));
+        database = write ? RocksDB.open(options, folder.toString(), descriptors, families)
+                : RocksDB.openReadOnly(options, folder.toString(), descriptors, families);
+    }
+
+    static LedgerDatabase open(Path folder, boolean write) throws RocksDBException {
+        return new LedgerDatabase(folder, write);
+    }
+
+    RocksDB database() {
+        return database;
+    }
+
+    ColumnFamilyHandle usages() {
+        return families.get(USAGES_AT);
+    }
+
+    ColumnFamilyHandle totals() {
+        return families.get(TOTALS_AT);
+    }
+
+    void compact() throws RocksDBException {
+        for (ColumnFamilyHandle family : families) {
+            database.compactRange(family);
+        }
+    }
+
+    @Override
+    public void close() {
+        families.forEach(ColumnFamilyHandle::close);
+        database.close();
+        options.close();
+        familyOptions.close();
+    }
+}
