--- a/src/main/java/larchridge/faults/RigAgent.java
+++ b/src/main/java/larchridge/faults/RigAgent.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -106,7 +107,12 @@
     }
 
     private static void reset(Channel channel) {
-        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        try {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        } catch (ChannelException e) {
+            // It is closed already.
+            return;
+        }
         channel.close();
     }
 
--- a/src/main/java/larchridge/faults/RigLink.java
+++ b/src/main/java/larchridge/faults/RigLink.java
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -67,7 +68,12 @@
     }
 
     private static void reset(Channel channel) {
-        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        try {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        } catch (ChannelException e) {
+            // It is closed already.
+            return;
+        }
         channel.close();
     }
 
--- a/src/main/java/larchridge/faults/RigLists.java
+++ b/src/main/java/larchridge/faults/RigLists.java
@@ -75,6 +75,12 @@
         quiet.add(new Quiet(node, ms, ms + MOVED_MS));
     }
 
+    /** Whether the engine served again before a node counts as told of this change. */
+    private boolean isOvertaken(Change change, double toldMs) {
+        return changes.stream().anyMatch(later -> later.engine == change.engine && later.ms > change.ms && later.ms <= toldMs
+                && later.word.equals("ready"));
+    }
+
     /** When each node counts as told of each change. */
     List<RigJudge.Told> told() {
         List<RigJudge.Told> all = new ArrayList<>();
@@ -92,7 +98,9 @@
                         }
                     }
                 }
-                all.add(new RigJudge.Told(ms, node.number, change.engine, change.word));
+                if (!isOvertaken(change, ms)) {
+                    all.add(new RigJudge.Told(ms, node.number, change.engine, change.word));
+                }
             }
         }
         return all;
