An answer whose state was released beside it stays where it waits until its prompt is read anew

Change: the module is told (Hearing.stateReleased); the attempt stays, a further one reads anew. The release begins at 0.85 of the time, not 0.7, with tries of at most 0.11 s (release time 1 s) or 0.09 s (0.5 s) up to the 300 ms that the platform adds. HeldStateTest's second test lets the engine answer once the release has come, in place of a wait of 1.5 s, in which the new read may come first. ChoiceTest, HeldStateTest, ReleaseTest: none failed, one run.

--- a/src/main/java/larchridge/Choice.java
+++ b/src/main/java/larchridge/Choice.java
@@ -174,7 +174,8 @@
         if (gen.over || gen.begun) {
             // Danger: a read that ends after its generation would leave its state pinned.
             letGo(gen);
-        } else if (!gen.isAtWriter()) {
+        } else if (!gen.isAtWriter() || gen.stateReleased) {
+            gen.stateReleased = false;
             cancelOthers(gen, attempt);
             advance(gen);
         }
@@ -249,6 +250,18 @@
         gen.nextAttemptMs = host.now() + Math.min(NOT_SENT_MOST_MS, ms);
     }
 
+    /**
+     * The state that an attempt is to fetch has been released, since nothing was heard of the attempt in time. In its
+     * engine's queue it goes on; moved to another writer, or sent again, it would find no state.
+     */
+    public void stateReleased(Attempt attempt) {
+        Gen gen = attempt.gen;
+        if (attempt.out && !attempt.cancelled && !gen.over && !gen.begun) {
+            gen.state = null;
+            gen.stateReleased = true;
+        }
+    }
+
     public void departed(Gen gen) {
         gen.over = true;
         gen.waiting = false;
@@ -546,6 +559,7 @@
     private void sendWrite(Gen gen, Engine writer) {
         Attempt attempt = new Attempt(gen, writer, false, host.now(), genToks(gen), 0);
         attempt.patienceMs = OVERDUE_WRITE_MS + OVERDUE_FACTOR * beginMs;
+        gen.stateReleased = false;
         send(attempt);
     }
 
--- a/src/main/java/larchridge/enginelink/Hearing.java
+++ b/src/main/java/larchridge/enginelink/Hearing.java
@@ -27,6 +27,14 @@
         return;
     }
 
+    /**
+     * The state that it is to fetch has been released, since the time for that is all but over and nothing was heard of the
+     * attempt. Where it waits in its engine's queue it goes on; no other attempt can fetch that state.
+     */
+    default void stateReleased() {
+        return;
+    }
+
     /** It was kept from being written, for this reason; the end of the attempt follows. */
     default void notSent(SendRefusal reason) {
         return;
--- a/src/main/java/larchridge/faults/RigClients.java
+++ b/src/main/java/larchridge/faults/RigClients.java
@@ -88,6 +88,7 @@
                     told.accept(served[0]);
                 }
             };
+            requests++;
             exchange.begin();
         }
         loop.next().schedule(() -> {
--- a/src/main/java/larchridge/front/Decider.java
+++ b/src/main/java/larchridge/front/Decider.java
@@ -21,6 +21,11 @@
 
     void ended(Attempt attempt, Outcome outcome, Report report, boolean over);
 
+    /** The state that an attempt is to fetch has been released beside it; only an attempt that has arrived keeps it. */
+    default void stateReleased(Attempt attempt) {
+        return;
+    }
+
     void departed(Gen gen);
 
     void probed(Engine engine, boolean answered, Report report);
@@ -58,6 +63,11 @@
                 choice.ended(attempt, outcome, report, over);
             }
 
+            @Override
+            public void stateReleased(Attempt attempt) {
+                choice.stateReleased(attempt);
+            }
+
             @Override
             public void departed(Gen gen) {
                 choice.departed(gen);
--- a/src/main/java/larchridge/front/Front.java
+++ b/src/main/java/larchridge/front/Front.java
@@ -616,6 +616,13 @@
             }
         }
 
+        @Override
+        public void stateReleased() {
+            tick();
+            traced("STATE_RELEASED");
+            guarded(one, () -> choice.stateReleased(trip.attempt));
+        }
+
         @Override
         public void notSent(SendRefusal reason) {
             meters.notSent(number, reason.tag());
--- a/src/main/java/larchridge/node/link/HeldState.java
+++ b/src/main/java/larchridge/node/link/HeldState.java
@@ -27,6 +27,8 @@
     boolean mayBeHeld;
     /** The timer of the time for which a state may be held, or {@link #NO_TIMER}. */
     long timer = NO_TIMER;
+    /** Told when the state is released beside the newest attempt; null where nobody asks. */
+    Runnable onReleasedBesideAttempt;
     /** Engines that the release under way was sent to. */
     final Set<Spot> asked = new HashSet<>();
     /** The engine that the read went to, asked first. */
--- a/src/main/java/larchridge/node/link/PassageLink.java
+++ b/src/main/java/larchridge/node/link/PassageLink.java
@@ -230,6 +230,7 @@
         Pool pool = pool(order.spot());
         pool.attempts++;
         Attempt attempt = new Attempt(order, hearing, reads, held, pool);
+        held.onReleasedBesideAttempt = reads ? null : attempt::stateReleased;
         attempt.wire = start(pool, attempt);
         if (attempt.wire == null) {
             attempt.refuse(SendRefusal.NO_CONNECTION);
@@ -284,6 +285,13 @@
             return request;
         }
 
+        /** The state that it is to fetch is released; a request in its engine's queue keeps it all the same. */
+        private void stateReleased() {
+            if (!over) {
+                hearing.stateReleased();
+            }
+        }
+
         /** It is not written, for a reason that says nothing about the engine. */
         private void refuse(SendRefusal reason) {
             verdict.unfit();
--- a/src/main/java/larchridge/node/link/StateReleases.java
+++ b/src/main/java/larchridge/node/link/StateReleases.java
@@ -21,17 +21,26 @@
  */
 final class StateReleases {
     /** A release is tried this many times within the time that a state may be held. */
-    static final int TRIES_IN_TIME = 5;
+    private static final int TRIES_IN_TIME = 5;
+    /** One beside an attempt begins late, and is tried this many times up to the latest moment. */
+    private static final int LATE_TRIES = 4;
+    /** Releases are tried this many times in all, each at another engine. */
+    private static final int TRIES_MOST = 10;
+    /** The platform counts a state as held too long only so much after its time. */
+    private static final double SLACK_MS = 300;
     /** Requests that are tracked at a time. */
     static final int MOST_REQUESTS = 20_000;
     /** Sent at this part of the time for a held state; the rest is for tries at engines that do not answer. */
-    private static final double RELEASE_PART = 0.7;
+    private static final double RELEASE_PART = 0.85;
     /** For so many times that time a release is tried again that this machine could not send. */
     private static final double LOCAL_FAULT_PART = 5;
     private static final Logger LOG = LoggerFactory.getLogger(StateReleases.class);
 
     private final Ground ground;
     private final double releaseMs;
+    /** For so long an engine may answer a release before another is asked. */
+    private final double tryMs;
+    private final double lateTryMs;
     private final Transport transport;
     /** What is open of each request, by the client's id. */
     private final Map<String, HeldState> byRequest = new HashMap<>();
@@ -49,6 +58,8 @@
         this.ground = ground;
         this.releaseMs = releaseMs;
         this.transport = transport;
+        tryMs = releaseMs / TRIES_IN_TIME;
+        lateTryMs = Math.min(tryMs, ((1 - RELEASE_PART) * releaseMs + SLACK_MS) / LATE_TRIES);
     }
 
     // ------------------------------------------------------------------ what happens to attempts
@@ -120,7 +131,11 @@
             if (held.mayBeHeld && !held.releasing) {
                 LOG.atDebug().addKeyValue("id", held.requestId).addKeyValue("attempts", held.attemptsOut)
                         .log("releases a state before its time is over, beside attempts that were not heard of");
-                begin(held, held.mayBeFetched());
+                boolean beside = held.mayBeFetched();
+                begin(held, beside);
+                if (beside && held.onReleasedBesideAttempt != null) {
+                    held.onReleasedBesideAttempt.run();
+                }
             }
         });
     }
@@ -162,13 +177,13 @@
     }
 
     private void tryNext(HeldState held) {
-        Spot spot = held.asked.size() < 2 * TRIES_IN_TIME ? transport.next(held.holder, held.asked) : null;
+        Spot spot = held.asked.size() < TRIES_MOST ? transport.next(held.holder, held.asked) : null;
         if (spot == null) {
             allAsked(held);
             return;
         }
         held.asked.add(spot);
-        transport.release(spot, held.requestId, releaseMs / TRIES_IN_TIME, result -> told(held, result));
+        transport.release(spot, held.requestId, held.releasingBesideAttempt ? lateTryMs : tryMs, result -> told(held, result));
     }
 
     private void told(HeldState held, CallResult result) {
@@ -197,7 +212,7 @@
         if (held.notSent && ground.nowMs() - held.releaseBeganMs < LOCAL_FAULT_PART * releaseMs) {
             held.notSent = false;
             held.asked.clear();
-            ground.in(releaseMs / (2 * TRIES_IN_TIME), () -> tryNext(held));
+            ground.in(tryMs, () -> tryNext(held));
             return;
         }
         LOG.atWarn().addKeyValue("id", held.requestId).log("no engine took a release; the state is left to its engine");
--- a/src/main/java/larchridge/state/Gen.java
+++ b/src/main/java/larchridge/state/Gen.java
@@ -25,6 +25,8 @@
     public boolean begun;
     /** The attempt whose read state waits to be fetched, or null. */
     public Attempt state;
+    /** Whether the state was released beside the attempt that is to fetch it. */
+    public boolean stateReleased;
     /** Whether a state may be held for it anywhere. */
     public boolean held;
     public boolean waiting;
--- a/src/test/java/larchridge/ChoiceTest.java
+++ b/src/test/java/larchridge/ChoiceTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -513,4 +514,35 @@
         assertEquals(2, stage.sent.size());
         assertEquals(fleet[1], stage.last().engine);
     }
+
+    /** It may wait in its writer's queue, which keeps the state; any other writer would find none. */
+    @Test
+    void answerWhoseStateWasReleasedBesideItStaysUntilItsPromptIsReadAnew() {
+        stage.fleet(2, 2);
+        Gen gen = stage.gen("a");
+        choice.arrived(gen);
+        choice.readDone(stage.last(), 0, null, false);
+        Attempt waits = stage.last();
+        choice.stateReleased(waits);
+        waits.patienceMs = 100;
+        stage.now += waits.patienceMs + 1;
+        choice.woken();
+        Attempt again = stage.last();
+        assertTrue(again.read, "the prompt is read anew before the answer moves");
+        assertFalse(stage.heardOf("cancel a"));
+        choice.readDone(again, 0, null, false);
+        assertFalse(stage.last().read);
+        assertTrue(waits.cancelled);
+    }
+
+    /** A fault at one generation must not end the regular look at the others. */
+    @Test
+    void regularLookGoesOnAfterAFault() {
+        stage.fleet(1, 1);
+        choice.arrived(stage.gen("a"));
+        stage.wakes = 0;
+        stage.last().gen.attempts.set(0, null);
+        assertThrows(NullPointerException.class, choice::woken);
+        assertEquals(1, stage.wakes);
+    }
 }
--- a/src/test/java/larchridge/Stage.java
+++ b/src/test/java/larchridge/Stage.java
@@ -16,6 +16,9 @@
 
 /** A host that writes down what it is asked for, and short ways to build state. */
 final class Stage implements Host {
+    /** Times that the module has asked to be woken. */
+    int wakes;
+
     final List<String> said = new ArrayList<>();
     final List<Attempt> sent = new ArrayList<>();
     final Terms terms = new Terms();
@@ -114,7 +117,9 @@
     }
 
     @Override
-    public void wake(double atMs) { }
+    public void wake(double atMs) {
+        wakes++;
+    }
 
     @Override
     public void followList() {
--- a/src/test/java/larchridge/node/HeldStateTest.java
+++ b/src/test/java/larchridge/node/HeldStateTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.CountDownLatch;
 import larchridge.node.Scene.Reply;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -33,8 +33,9 @@
     /** The release that is sent in time frees nothing that a queued attempt waits for, so the attempt stays out. */
     @Test
     void attemptThatWaitsInItsEnginesQueueIsServedAfterTheReleaseOfItsState() throws Exception {
+        CountDownLatch released = new CountDownLatch(1);
         scene.writer.script = seen -> {
-            sleep(1500);
+            Scene.await(released);
             return new Reply(Scene.GOOD + Scene.chunk(Scene.EVENT + Scene.END) + "0\r\n\r\n", true);
         };
         String id = Scene.id();
@@ -42,15 +43,8 @@
         client.send(Scene.ask(id, ""));
         scene.reader.next("POST");
         assertReleasedInTime(id, System.nanoTime());
+        released.countDown();
         Scene.served(client);
         assertEquals(1, scene.writer.posts());
     }
-
-    private static void sleep(long ms) {
-        try {
-            TimeUnit.MILLISECONDS.sleep(ms);
-        } catch (InterruptedException e) {
-            throw new IllegalStateException(e);
-        }
-    }
 }
