A state that stayed for a queued attempt is released again when that attempt breaks

Found by reading StateReleases: after the release beside an attempt its timer was gone; where the attempt had arrived and its connection then broke (not heard), the state was held with no attempt waiting until the request's end. The time now starts again with the end of such an attempt. And a second read's end no longer takes the place of the timer of an older state.

--- a/src/main/java/larchridge/audit/RequestAudit.java
+++ b/src/main/java/larchridge/audit/RequestAudit.java
@@ -196,7 +196,7 @@
         AuditedAttempt one = request.attempts.get(attempt);
         one.neverRan = neverRan;
         boolean mayHaveRead = one.reads && !neverRan;
-        boolean mayStillBeHeld = heard && (request.releasedBesideAttempt || !Double.isNaN(request.heldMs));
+        boolean mayStillBeHeld = request.releasedBesideAttempt || heard && !Double.isNaN(request.heldMs);
         if (!request.begun && (mayHaveRead && Double.isNaN(request.heldMs) || mayStillBeHeld)) {
             hold(request);
         }
--- a/src/main/java/larchridge/node/link/StateReleases.java
+++ b/src/main/java/larchridge/node/link/StateReleases.java
@@ -88,7 +88,9 @@
     /** An attempt has ended otherwise; heard tells whether its engine answered anything, so that it had arrived there. */
     void attemptEnded(HeldState held, boolean heard) {
         held.attemptsOut--;
-        if (heard && held.mayBeHeld) {
+        // Released beside it, the state may have stayed for this attempt alone, and is held anew from now on.
+        boolean releasedBefore = held.timer == HeldState.NO_TIMER;
+        if (held.mayBeHeld && (heard || releasedBefore)) {
             stopTimer(held);
             startTimer(held);
         }
@@ -124,8 +126,12 @@
         return byRequest.size();
     }
 
+    /** The time of an older state runs on where there is one. */
     private void startTimer(HeldState held) {
         held.mayBeHeld = true;
+        if (held.timer != HeldState.NO_TIMER) {
+            return;
+        }
         held.timer = ground.in(RELEASE_PART * releaseMs, () -> {
             held.timer = HeldState.NO_TIMER;
             if (held.mayBeHeld && !held.releasing) {
