Soak rig: one reset for proxies and agents; fields and a wrapper that nothing read are gone

Read over the whole change: RigLink and RigAgent each had the same reset of a connection (RigChannels now); RigNode.crashes and folder, RigClients.answered and FaultScripts.draw were dead or only passed on. No assertion changed.

--- a/src/main/java/larchridge/cli/FaultsCommand.java
+++ b/src/main/java/larchridge/cli/FaultsCommand.java
@@ -62,7 +62,7 @@
         boolean broken = false;
         for (int i = 0; i < runs; i++) {
             FaultScript one = script != null ? FaultScript.read(script)
-                    : FaultScripts.draw(seed + i, nodes, readers, writers, seconds, perSecond, played);
+                    : FaultScript.draw(seed + i, nodes, readers, writers, seconds, perSecond, played);
             Judgement judgement = new FaultRig(one, plant, folder.resolve("seed" + one.seed())).run();
             broken |= !judgement.passed();
             report(one, judgement);
--- a/src/main/java/larchridge/faults/FaultRig.java
+++ b/src/main/java/larchridge/faults/FaultRig.java
@@ -197,7 +197,6 @@
                 continue;
             }
             if (node.state == RigNode.State.UP || node.state == RigNode.State.STARTING) {
-                node.crashes++;
                 faults.add("node " + node.number + ": the process ended by itself at " + Math.round(now - startMs) + " ms");
             }
             if (node.state != RigNode.State.DOWN) {
--- a/src/main/java/larchridge/faults/FaultScript.java
+++ b/src/main/java/larchridge/faults/FaultScript.java
@@ -32,8 +32,8 @@
     private static final double LONGEST_MS = 6000;
 
     /** A script of a seed, with kinds out of those given. */
-    static FaultScript draw(long seed, int nodes, int readers, int writers, double seconds, double perSecond,
-                            List<TroubleKind> kinds) {
+    public static FaultScript draw(long seed, int nodes, int readers, int writers, double seconds, double perSecond,
+                                   List<TroubleKind> kinds) {
         Random random = new Random(seed);
         double spanMs = Math.max(0, (seconds - CALM_S) * 1000 - FIRST_MS);
         List<Trouble> troubles = new ArrayList<>();
--- a/src/main/java/larchridge/faults/FaultScripts.java
+++ b/src/main/java/larchridge/faults/FaultScripts.java
@@ -3,7 +3,7 @@
 import java.util.Arrays;
 import java.util.List;
 
-/** Draws scripts for a machine. */
+/** Which troubles a machine can play. */
 public final class FaultScripts {
     private FaultScripts() { }
 
@@ -15,10 +15,4 @@
         }
         return kinds.stream().filter(kind -> shim || !kind.needsShim()).toList();
     }
-
-    /** A script of a seed. */
-    public static FaultScript draw(long seed, int nodes, int readers, int writers, double seconds, double perSecond,
-                                   List<TroubleKind> kinds) {
-        return FaultScript.draw(seed, nodes, readers, writers, seconds, perSecond, kinds);
-    }
 }
--- a/src/main/java/larchridge/faults/RigAgent.java
+++ b/src/main/java/larchridge/faults/RigAgent.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -77,7 +76,7 @@
             watches.clear();
         }
         if (next == Mood.RESETS) {
-            Set.copyOf(connections).forEach(RigAgent::reset);
+            Set.copyOf(connections).forEach(RigChannels::reset);
         }
     }
 
@@ -106,16 +105,6 @@
         }
     }
 
-    private static void reset(Channel channel) {
-        try {
-            channel.config().setOption(ChannelOption.SO_LINGER, 0);
-        } catch (ChannelException e) {
-            // It is closed already.
-            return;
-        }
-        channel.close();
-    }
-
     /** Serves one connection. */
     private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
@@ -130,7 +119,7 @@
                 return;
             }
             if (mood == Mood.RESETS) {
-                reset(context.channel());
+                RigChannels.reset(context.channel());
                 return;
             }
             QueryStringDecoder query = new QueryStringDecoder(request.uri());
--- a/src/main/java/larchridge/faults/RigClients.java
+++ b/src/main/java/larchridge/faults/RigClients.java
@@ -55,7 +55,6 @@
     private boolean dropsAnswers;
     private long requests;
     int answeredWhole;
-    int answered;
 
     RigClients(EventLoopGroup loop, TrafficLog log, List<RigNode> nodes, List<RequestClass> classes, long seed) {
         this.loop = loop;
@@ -187,7 +186,6 @@
             }
             over = true;
             ended.accept(word.equals("streamed"));
-            answered++;
             answeredWhole += word.equals("streamed") ? 1 : 0;
             saw(Seen.Kind.FINAL, word);
         }
--- a/src/main/java/larchridge/faults/RigLink.java
+++ b/src/main/java/larchridge/faults/RigLink.java
@@ -4,7 +4,6 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -67,16 +66,6 @@
         }
     }
 
-    private static void reset(Channel channel) {
-        try {
-            channel.config().setOption(ChannelOption.SO_LINGER, 0);
-        } catch (ChannelException e) {
-            // It is closed already.
-            return;
-        }
-        channel.close();
-    }
-
     /** One side of a connection that is carried. */
     private final class Side extends ChannelInboundHandlerAdapter {
         private Channel own;
@@ -193,9 +182,9 @@
             sides.remove(this);
             waiting.forEach(ReferenceCountUtil::release);
             waiting.clear();
-            RigLink.reset(own);
+            RigChannels.reset(own);
             if (other != null && other.own != null && other.own.isOpen()) {
-                RigLink.reset(other.own);
+                RigChannels.reset(other.own);
             }
         }
     }
--- a/src/main/java/larchridge/faults/RigNode.java
+++ b/src/main/java/larchridge/faults/RigNode.java
@@ -24,7 +24,6 @@
     final RigAgent agent;
     /** Null where there is no C compiler. */
     final Shim shim;
-    private final Path folder;
     private final Path config;
     private final Path log;
     private final String settings;
@@ -32,8 +31,6 @@
     State state = State.DOWN;
     double terminatedMs = Double.NaN;
     int starts;
-    /** A process that ended though nobody ended it. */
-    int crashes;
     /** It has ended, and will be started again. */
     boolean restarting;
 
@@ -42,7 +39,6 @@
         this.port = port;
         this.agent = agent;
         this.shim = shim;
-        this.folder = folder;
         this.settings = settings;
         config = folder.resolve("node" + number + ".json");
         log = folder.resolve("node" + number + ".log");
@@ -129,8 +125,4 @@
         }
         return faults;
     }
-
-    Path folder() {
-        return folder;
-    }
 }
--- a/src/test/java/larchridge/faults/FaultRigTest.java
+++ b/src/test/java/larchridge/faults/FaultRigTest.java
@@ -51,8 +51,8 @@
     @Test
     void scriptIsDrawnAlikeFromItsSeedAndReadAsItWasWritten() throws IOException {
         List<TroubleKind> kinds = List.of(TroubleKind.values());
-        FaultScript drawn = FaultScripts.draw(5, 24, 4, 6, 40, 80, kinds);
-        assertEquals(drawn, FaultScripts.draw(5, 24, 4, 6, 40, 80, kinds));
+        FaultScript drawn = FaultScript.draw(5, 24, 4, 6, 40, 80, kinds);
+        assertEquals(drawn, FaultScript.draw(5, 24, 4, 6, 40, 80, kinds));
         drawn.write(folder.resolve("script.yaml"));
         assertEquals(drawn, FaultScript.read(folder.resolve("script.yaml")));
         assertTrue(drawn.troubles().stream().allMatch(one -> one.endMs() <= (40 - FaultScript.CALM_S) * 1000));
