--- a/review/standins/BatchRepeat.java
+++ b/review/standins/BatchRepeat.java
@@ -31,6 +31,9 @@
     /** When each key ran last; all engines drop repeats within DEDUP_MEMORY_MS of that. */
     private static final Map<String, Double> REMEMBERED = new HashMap<>();
 
+    private static final HttpClient CLIENT =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
     private static boolean answerLost = !Kit.TROUBLE;
 
     private BatchRepeat() {}
@@ -177,8 +180,7 @@
 
     private static String call(HttpRequest.Builder request)
             throws IOException, InterruptedException {
-        return HttpClient.newHttpClient()
-                .send(
+        return CLIENT.send(
                         request.timeout(Duration.ofSeconds(10)).build(),
                         HttpResponse.BodyHandlers.ofString())
                 .body();
--- a/review/standins/Kit.java
+++ b/review/standins/Kit.java
@@ -123,12 +123,13 @@
         record("sent SIG" + signal);
     }
 
-    /** Copies the lines of a process's log that contain the text into the record. */
+    /** Copies the first lines of a process's log that contain the text into the record. */
     static void recordLog(String name, String text) throws IOException {
-        for (String line : Files.readAllLines(temporary.resolve(name + ".log"))) {
-            if (line.contains(text)) {
-                record("log of " + name + ": " + line);
-            }
+        List<String> lines = Files.readAllLines(temporary.resolve(name + ".log"));
+        lines.removeIf(line -> !line.contains(text));
+        record("lines in the log of " + name + " with " + text + ": " + lines.size());
+        for (String line : lines.subList(0, Math.min(3, lines.size()))) {
+            record("log of " + name + ": " + line);
         }
     }
 
