--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,8 @@
 #!/bin/sh
 # Exit code 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0 leaves the disruption out.
-cd "$(dirname "$0")/../.." && exec java -cp target/review SentAhead review/2
+cd "$(dirname "$0")/../.." || exit 2
+if [ ! -f target/review/SentAhead.class ] || [ ! -f target/larchridge.jar ]; then
+    echo "build the program and the stand-ins first" >&2
+    exit 2
+fi
+exec java -cp target/review SentAhead review/2
--- a/review/standins/Kit.java
+++ b/review/standins/Kit.java
@@ -24,6 +24,7 @@
     static final int HELD = 0;
     static final int BROKEN = 1;
     static final int NOT_RUN = 2;
+    private static final double MAX_MS = 112_000;
 
     static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
     static final long START_NANOS = System.nanoTime();
@@ -45,16 +46,29 @@
             record = Files.newBufferedWriter(folder.resolve("record.txt"));
             temporary = Files.createTempDirectory("review");
             Runtime.getRuntime().addShutdownHook(new Thread(Kit::end));
+            Thread limit = new Thread(Kit::endInTime);
+            limit.setDaemon(true);
+            limit.start();
             record("trouble: " + (TROUBLE ? "yes" : "no"));
             result = played.play();
-        } catch (Exception e) {
-            record("the case could not run: " + e);
+        } catch (Exception | Error e) {
+            if (record != null) {
+                record("the case could not run: " + e);
+            }
             e.printStackTrace();
         }
-        record("result: " + result);
+        if (record != null) {
+            record("result: " + result);
+        }
         System.exit(result);
     }
 
+    private static void endInTime() {
+        sleep(MAX_MS);
+        record("the case took too long");
+        System.exit(NOT_RUN);
+    }
+
     private static synchronized void end() {
         for (Process process : PROCESSES) {
             process.destroyForcibly();
