--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
     echo "build the program and the stand-ins first" >&2
     exit 2
 fi
-exec java -cp target/review SentAhead review/2
+exec java -Djava.io.tmpdir="${TMPDIR:-/tmp}" -cp target/review SentAhead review/2
--- a/review/standins/FatHeads.java
+++ b/review/standins/FatHeads.java
@@ -63,7 +63,7 @@
         if (!Kit.TROUBLE && clients.outcomes.getOrDefault("served", 0) < 100) {
             return Kit.NOT_RUN;
         }
-        return lost == 0 && answers && node.process.isAlive() ? Kit.HELD : Kit.BROKEN;
+        return lost == 0 && node.process.isAlive() ? Kit.HELD : Kit.BROKEN;
     }
 
     private static void sendHalf(int port, String id) {
--- a/review/standins/Platform.java
+++ b/review/standins/Platform.java
@@ -298,6 +298,8 @@
 
         private void serve(Socket socket) {
             try (socket) {
+                // The settings' time after which an engine closes a connection that rests.
+                socket.setSoTimeout(15_000);
                 BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
                 OutputStream out = socket.getOutputStream();
                 for (Kit.Message request = Kit.read(in); request != null; request = Kit.read(in)) {
@@ -431,6 +433,7 @@
                     kept = socket != null;
                 }
                 Kit.Message answer = null;
+                Kit.record("client " + id + " sends");
                 if (kept) {
                     answer = exchange(socket, id);
                 }
@@ -491,18 +494,25 @@
             }
         }
 
+        /**
+         * What became of a request. Only a stream that was ended with its last chunk can have been
+         * served wrongly: one that is spoilt and cut has failed.
+         */
         private String check(String id, Kit.Message answer) {
             if (answer.status() != 200) {
                 return "status " + answer.status();
             }
+            if (!answer.complete) {
+                return "cut";
+            }
             for (String event : answer.text().split("\n\n")) {
                 int content = event.indexOf("\"content\":\"");
                 if (content >= 0 && !event.startsWith(id, content + 11)) {
                     foreign.add(id);
-                    return "foreign events: " + event;
+                    return "foreign events in a whole stream: " + event;
                 }
             }
-            return answer.complete ? "served" : "cut";
+            return "served";
         }
     }
 }
