Node: requests count against memory with what they take on the heap, not their length

Callers saw: four clients that send a request in chunks of one byte behind another one, or 300 that send heads of 1,900 short lines and wait, fill the heap of a node of 192 MB.

Cause: bounds that counted bytes of content. PipelineQueue.bytesOf counted a part as its readable bytes; a part of one byte is an object, a slice and a place in the queue, over a hundred bytes, and keeps the buffer of its socket read. Heads counted 4 KiB or not at all, while being decoded and after it; trailers not at all. RequestBodyBuffer counted the length of a body whose buffer may be twice as long.

RequestHeaders reserves each line as it is decoded, so incomplete heads count too, and the exchange keeps the reservation until its final response. What has no room gets the 503 it got before. Heads are discarded when a connection ends.

RequestBodyBufferTest asks tryAppend where it asked hasMemoryFor.

--- a/src/main/java/larchridge/node/NodeAssembler.java
+++ b/src/main/java/larchridge/node/NodeAssembler.java
@@ -42,10 +42,10 @@
     private static final double BYTES_PER_MEBIBYTE = 1048576.0;
 
     /**
-     * Fraction of the memory that request bodies may use, and the memory assumed for each open
+     * Fraction of the memory that requests may use, and the memory assumed for each open
      * generation.
      */
-    private static final double BODY_MEMORY_FRACTION = 0.2;
+    private static final double REQUEST_MEMORY_FRACTION = 0.2;
 
     private static final int BYTES_PER_GENERATION = 16 << 10;
     private static final int MIN_OPEN_GENERATIONS = 16;
@@ -79,7 +79,7 @@
     private final EventLoop loop;
     private final ByteBufAllocator allocator;
     private final NettyScheduler scheduler;
-    private final long bodyMemoryBytes;
+    private final long requestMemoryBytes;
 
     NodeAssembler(
             NodeConfiguration configuration, ByteBufAllocator allocator, NettyScheduler scheduler) {
@@ -92,7 +92,7 @@
                 Math.min(
                         (double) Runtime.getRuntime().maxMemory(),
                         configuration.memoryMb() * BYTES_PER_MEBIBYTE);
-        bodyMemoryBytes = (long) (memoryBytes * BODY_MEMORY_FRACTION);
+        requestMemoryBytes = (long) (memoryBytes * REQUEST_MEMORY_FRACTION);
     }
 
     /** Builds all components and starts polling discovery. */
@@ -130,7 +130,7 @@
         site.maxStateHoldMs = settings.maxStateHoldMs();
         site.drainGraceMs = settings.drainGraceMs();
         site.limits.maxOpenExchanges =
-                (int) Math.max(MIN_OPEN_GENERATIONS, bodyMemoryBytes / BYTES_PER_GENERATION);
+                (int) Math.max(MIN_OPEN_GENERATIONS, requestMemoryBytes / BYTES_PER_GENERATION);
         site.limits.pausedStreamTimeoutMs = PAUSED_STREAM_TIMEOUT_MS;
         site.limits.streamIdleTimeoutMs = SILENT_STREAM_TIMEOUT_MS;
         site.limits.shutdownTimeoutMs = STOP_TIMEOUT_MULTIPLE * longestTimeLimitMs();
@@ -156,7 +156,7 @@
         return new ServerLimits(
                 (int) (configuration.maxDescriptors() * CLIENT_SOCKETS_FRACTION),
                 MAX_BODY_BYTES,
-                bodyMemoryBytes,
+                requestMemoryBytes,
                 REQUEST_PART_TIMEOUT_MS,
                 REQUEST_TIMEOUT_MS,
                 settings.keepAliveMs(),
--- a/src/main/java/larchridge/node/NodeAudit.java
+++ b/src/main/java/larchridge/node/NodeAudit.java
@@ -144,7 +144,7 @@
         unreleased.put("generations", (long) components.router().generationsInFlight());
         unreleased.put("upstream requests", (long) components.upstream().trackedRequestCount());
         unreleased.put("ids", (long) components.server().openRequestCount());
-        unreleased.put("body bytes", components.server().bufferedBodyBytes());
+        unreleased.put("request bytes", components.server().reservedRequestBytes());
         unreleased.put("audited requests", (long) requestAudit.openRequests());
         unreleased.values().removeIf(count -> count == 0);
         if (!unreleased.isEmpty()) {
--- a/src/main/java/larchridge/node/server/ClientConnection.java
+++ b/src/main/java/larchridge/node/server/ClientConnection.java
@@ -28,7 +28,7 @@
     private final ServerContext server;
     private final RequestDispatcher dispatcher;
     private final Channel channel;
-    private final StrictRequestDecoder decoder = new StrictRequestDecoder(this::requestStarted);
+    private final StrictRequestDecoder decoder;
     private final RequestTiming timing;
     private final RequestBodyBuffer body;
     private final PipelineQueue pipelinedParts;
@@ -46,9 +46,10 @@
         this.dispatcher = dispatcher;
         this.channel = channel;
         ServerLimits limits = server.limits;
+        decoder = new StrictRequestDecoder(server.requestMemory, this::requestStarted);
         timing = new RequestTiming(limits, server.scheduler.nowMs());
-        body = new RequestBodyBuffer(server.bodyMemory, limits.maxBodyBytes());
-        pipelinedParts = new PipelineQueue(server.bodyMemory, limits.maxBodyBytes());
+        body = new RequestBodyBuffer(server.requestMemory, limits.maxBodyBytes());
+        pipelinedParts = new PipelineQueue(server.requestMemory, limits.maxBodyBytes());
         closer = new ConnectionCloser(channel, limits.lingerMs());
     }
 
@@ -102,8 +103,7 @@
 
     private void process(HttpObject part) {
         if (part.decoderResult().isFailure()) {
-            boolean tooLong = part.decoderResult().cause() instanceof TooLongFrameException;
-            reject(tooLong ? RequestRejection.HEAD_TOO_LONG : RequestRejection.UNREADABLE);
+            reject(rejectionOf(part.decoderResult().cause()));
             return;
         }
         if (part instanceof HttpRequest request) {
@@ -112,11 +112,20 @@
         if (state == ConnectionState.READING_BODY && part instanceof HttpContent content) {
             appendToBody(content);
             if (state == ConnectionState.READING_BODY && part instanceof LastHttpContent) {
-                dispatcher.dispatch(this, takeCompleteRequest());
+                dispatchCompleteRequest();
             }
         }
     }
 
+    private static RequestRejection rejectionOf(Throwable decoderFailure) {
+        if (decoderFailure instanceof RequestMemoryException) {
+            return RequestRejection.NO_MEMORY;
+        }
+        return decoderFailure instanceof TooLongFrameException
+                ? RequestRejection.HEAD_TOO_LONG
+                : RequestRejection.UNREADABLE;
+    }
+
     private void startReadingBody(HttpRequest request) {
         server.connections.markReceiving(this);
         state = ConnectionState.READING_BODY;
@@ -137,26 +146,34 @@
         int additionalBytes = content.content().readableBytes();
         if (!body.canGrowBy(additionalBytes)) {
             reject(RequestRejection.BODY_TOO_LONG);
-        } else if (!body.hasMemoryFor(additionalBytes)) {
+        } else if (!body.tryAppend(content.content())) {
             reject(RequestRejection.NO_MEMORY);
-        } else {
-            body.append(content.content());
         }
     }
 
-    private HttpRequest takeCompleteRequest() {
+    private void dispatchCompleteRequest() {
         HttpRequest request = head;
         head = null;
         state = ConnectionState.AWAITING_REQUEST;
-        return request;
+        RequestHeaders headers = RequestHeaders.of(request);
+        try {
+            dispatcher.dispatch(this, request);
+        } finally {
+            // An exchange that was started has taken over the reservation.
+            headers.discard();
+        }
     }
 
     /** Discards all received data that is not being served, and all data that still arrives. */
     private void stopReadingRequests() {
         state = ConnectionState.CLOSING;
-        head = null;
+        if (head != null) {
+            RequestHeaders.of(head).discard();
+            head = null;
+        }
         body.discard();
         pipelinedParts.releaseAll();
+        decoder.discardHeads();
     }
 
     // ------------------------------------------------------------------ responses
@@ -248,7 +265,7 @@
             processAndRelease(pipelinedParts.remove());
         }
         if (state.readsRequests() && (pipelinedParts.hasOverflowed() || isLastResponse())) {
-            closeGracefully(
+            halfClose(
                     pipelinedParts.hasOverflowed() ? CloseReason.SENT_AHEAD : CloseReason.SHUTDOWN);
         }
     }
@@ -284,7 +301,7 @@
         } else if (state == ConnectionState.AWAITING_REQUEST
                 && !receiving
                 && timing.isIdleTooLong(nowMs)) {
-            closeGracefully(CloseReason.IDLE);
+            halfClose(CloseReason.IDLE);
         }
     }
 
@@ -321,16 +338,10 @@
                 && !readAndCheckPeerClosed()
                 && state.readsRequests()
                 && !decoder.isReceiving()) {
-            closeGracefully(CloseReason.SHUTDOWN);
+            halfClose(CloseReason.SHUTDOWN);
         }
     }
 
-    /** Half-closes a connection without a request in flight. */
-    private void closeGracefully(CloseReason reason) {
-        stopReadingRequests();
-        halfClose(reason);
-    }
-
     /** Closes immediately, even if received data is unread. */
     void closeNow(CloseReason reason) {
         state = ConnectionState.CLOSING;
@@ -344,7 +355,7 @@
      */
     void halfClose(CloseReason reason) {
         closer.recordReason(reason);
-        state = ConnectionState.CLOSING;
+        stopReadingRequests();
         if (!closer.isHalfClosed()) {
             server.connections.markClosing(this);
             closer.halfClose(server.scheduler.nowMs());
--- a/src/main/java/larchridge/node/server/ClientExchange.java
+++ b/src/main/java/larchridge/node/server/ClientExchange.java
@@ -14,8 +14,8 @@
 
 /**
  * An admitted request and its response on a client connection. It holds the request's id, the
- * memory of its body and its admission by the router until it finishes: with the final response, or
- * when the client disconnects.
+ * memory of its head and body, and its admission by the router until it finishes: with the final
+ * response, or when the client disconnects.
  */
 final class ClientExchange implements ResponseSink {
     private static final String STREAMED = "streamed";
@@ -25,7 +25,7 @@
     private final ClientConnection connection;
     private final ServerContext server;
     private final String id;
-    private final int bodyBytes;
+    private final int reservedBytes;
     private final double receivedMs;
     private final ConnectionPersistence requestedPersistence;
 
@@ -43,20 +43,22 @@
      *
      * @param connection the client connection
      * @param forwarded the request
+     * @param reservedBytes the memory of its head and body, which the exchange releases at its end
      * @param receivedMs when its head was received
      * @param requestedPersistence whether the client wants the connection to stay open
      */
     ClientExchange(
             ClientConnection connection,
             ForwardedRequest forwarded,
+            int reservedBytes,
             double receivedMs,
             ConnectionPersistence requestedPersistence) {
         this.connection = connection;
+        this.reservedBytes = reservedBytes;
         this.receivedMs = receivedMs;
         this.requestedPersistence = requestedPersistence;
         server = connection.server();
         id = forwarded.id();
-        bodyBytes = forwarded.body().length;
     }
 
     double receivedMs() {
@@ -105,7 +107,7 @@
         }
         finished = true;
         server.requestIds.markEnded(id);
-        server.bodyMemory.release(bodyBytes);
+        server.requestMemory.release(reservedBytes);
         server.router.exchangeEnded();
         return true;
     }
--- a/src/main/java/larchridge/node/server/HttpServer.java
+++ b/src/main/java/larchridge/node/server/HttpServer.java
@@ -138,8 +138,8 @@
         return context.requestIds.inFlightCount();
     }
 
-    /** Number of bytes of buffered request bodies. */
-    public long bufferedBodyBytes() {
-        return context.bodyMemory.reservedBytes();
+    /** Number of bytes of memory that is reserved for requests. */
+    public long reservedRequestBytes() {
+        return context.requestMemory.reservedBytes();
     }
 }
--- a/src/main/java/larchridge/node/server/RequestBodyBuffer.java
+++ b/src/main/java/larchridge/node/server/RequestBodyBuffer.java
@@ -3,16 +3,19 @@
 import io.netty.buffer.ByteBuf;
 import java.util.Arrays;
 
-/** Aggregates the body of the request that is being read and accounts for its memory. */
+/** Aggregates the body of a request and accounts for its memory. */
 final class RequestBodyBuffer {
     private static final byte[] EMPTY = new byte[0];
 
-    private final BodyMemory memory;
+    private final RequestMemory memory;
     private final int maxBytes;
+
+    /** Reserved in full, with the part that is not used yet. */
     private byte[] bytes = EMPTY;
+
     private int length;
 
-    RequestBodyBuffer(BodyMemory memory, int maxBytes) {
+    RequestBodyBuffer(RequestMemory memory, int maxBytes) {
         this.memory = memory;
         this.maxBytes = maxBytes;
     }
@@ -21,43 +24,62 @@
         return length == 0;
     }
 
+    int length() {
+        return length;
+    }
+
     /** Whether the body stays within its limit with this many additional bytes. */
     boolean canGrowBy(int additionalBytes) {
         return length + additionalBytes <= maxBytes;
     }
 
-    /** Whether memory for this many additional bytes is available. */
-    boolean hasMemoryFor(int additionalBytes) {
-        return memory.canReserve(additionalBytes);
-    }
-
-    /** Appends content; the caller has checked that there is room and memory for it. */
-    void append(ByteBuf content) {
+    /**
+     * Appends a copy of some content; the caller has checked that the body stays within its limit.
+     * Returns false, without a change, if there is no memory for it.
+     */
+    boolean tryAppend(ByteBuf content) {
         int additionalBytes = content.readableBytes();
-        if (length + additionalBytes > bytes.length) {
-            // The buffer grows with the data received: a length that is only declared allocates
-            // nothing.
-            int doubledCapacity = Math.min(2 * bytes.length, maxBytes);
-            bytes = Arrays.copyOf(bytes, Math.max(length + additionalBytes, doubledCapacity));
+        if (!tryEnsureCapacity(length + additionalBytes)) {
+            return false;
         }
         content.getBytes(content.readerIndex(), bytes, length, additionalBytes);
         length += additionalBytes;
-        memory.reserve(additionalBytes);
+        return true;
+    }
+
+    /**
+     * The buffer grows with the data received: a length that is only declared allocates nothing.
+     */
+    private boolean tryEnsureCapacity(int neededBytes) {
+        if (neededBytes <= bytes.length) {
+            return true;
+        }
+        int doubledCapacity = Math.min(2 * bytes.length, maxBytes);
+        int capacity = Math.max(neededBytes, doubledCapacity);
+        if (!memory.tryReserve(capacity - bytes.length)) {
+            return false;
+        }
+        bytes = Arrays.copyOf(bytes, capacity);
+        return true;
     }
 
     /**
-     * Returns the body and empties the buffer; the memory stays reserved until the caller releases
-     * it.
+     * Returns the body and empties the buffer; the memory of the body stays reserved until the
+     * caller releases it.
      */
     byte[] take() {
+        memory.release(bytes.length - length);
         byte[] body = length == bytes.length ? bytes : Arrays.copyOf(bytes, length);
-        bytes = EMPTY;
-        length = 0;
+        clear();
         return body;
     }
 
     void discard() {
-        memory.release(length);
+        memory.release(bytes.length);
+        clear();
+    }
+
+    private void clear() {
         bytes = EMPTY;
         length = 0;
     }
--- a/src/main/java/larchridge/node/server/RequestDispatcher.java
+++ b/src/main/java/larchridge/node/server/RequestDispatcher.java
@@ -130,6 +130,7 @@
                 new ClientExchange(
                         connection,
                         forwarded,
+                        RequestHeaders.of(request).takeReservation() + forwarded.body().length,
                         receivedMs,
                         ConnectionPersistence.requestedBy(request));
         connection.startExchange(exchange);
--- a/src/main/java/larchridge/node/server/RequestMemory.java
+++ b/src/main/java/larchridge/node/server/RequestMemory.java
@@ -1,20 +1,25 @@
 package larchridge.node.server;
 
-/** Counts the bytes of buffered request bodies, over all connections, against a limit. */
-final class BodyMemory {
+/**
+ * Counts the heap memory of all buffered parts of requests, over all connections, against a limit.
+ * Callers reserve what a part occupies as objects, not the length of its content: a part with one
+ * byte of content may occupy a hundred times as much.
+ */
+final class RequestMemory {
     private final long maxBytes;
     private long reservedBytes;
 
-    BodyMemory(long maxBytes) {
+    RequestMemory(long maxBytes) {
         this.maxBytes = maxBytes;
     }
 
-    boolean canReserve(int bytes) {
-        return reservedBytes + bytes <= maxBytes;
-    }
-
-    void reserve(int bytes) {
+    /** Reserves memory; returns false, without reserving any, if the limit would be exceeded. */
+    boolean tryReserve(int bytes) {
+        if (reservedBytes + bytes > maxBytes) {
+            return false;
+        }
         reservedBytes += bytes;
+        return true;
     }
 
     void release(int bytes) {
--- a/src/main/java/larchridge/node/server/RequestRejection.java
+++ b/src/main/java/larchridge/node/server/RequestRejection.java
@@ -15,7 +15,7 @@
     TWO_LENGTHS(HttpResponseStatus.BAD_REQUEST, "one length is expected"),
     /** Its body exceeds the limit. */
     BODY_TOO_LONG(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long"),
-    /** Request bodies would exhaust the memory; a retry is safe, since nothing was forwarded. */
+    /** Requests would exhaust the memory; a retry is safe, since nothing was forwarded. */
     NO_MEMORY(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much at once"),
     /** Its path is not served. */
     NOT_FOUND(HttpResponseStatus.NOT_FOUND, "nothing here"),
--- a/src/main/java/larchridge/node/server/ServerContext.java
+++ b/src/main/java/larchridge/node/server/ServerContext.java
@@ -20,7 +20,7 @@
     final ServerLimits limits;
     final RequestEvents events;
     final ConnectionRegistry connections;
-    final BodyMemory bodyMemory;
+    final RequestMemory requestMemory;
     final RequestIds requestIds = new RequestIds();
     private final RouterMetrics metrics;
     private boolean ready;
@@ -34,7 +34,7 @@
         events = dependencies.events();
         metrics = dependencies.metrics();
         connections = new ConnectionRegistry(limits.maxConnections());
-        bodyMemory = new BodyMemory(limits.maxBufferedBytes());
+        requestMemory = new RequestMemory(limits.maxBufferedBytes());
     }
 
     void markReady() {
--- a/src/main/java/larchridge/node/server/ServerLimits.java
+++ b/src/main/java/larchridge/node/server/ServerLimits.java
@@ -6,7 +6,7 @@
  *
  * @param maxConnections maximum number of client connections
  * @param maxBodyBytes maximum size of a body
- * @param maxBufferedBytes maximum size of all bodies in memory; beyond it, requests are rejected
+ * @param maxBufferedBytes maximum heap memory of all requests; beyond it, requests are rejected
  * @param requestPartTimeoutMs time limit for each head and each body to be complete; for the first
  *     head on a connection, counted from the accept
  * @param requestTimeoutMs time limit for a request to be complete: from the accept for the first
--- a/src/main/java/larchridge/node/server/package-info.java
+++ b/src/main/java/larchridge/node/server/package-info.java
@@ -7,7 +7,9 @@
  * larchridge.node.server.PipelineQueue} (queue pipelined requests), {@link
  * larchridge.node.server.RequestDispatcher} (validate and admit), {@link
  * larchridge.node.server.ClientExchange} (respond) and {@link
- * larchridge.node.server.ConnectionCloser} (close).
+ * larchridge.node.server.ConnectionCloser} (close). What a request occupies on the heap, from the
+ * first line of its head to its final response, counts against {@link
+ * larchridge.node.server.RequestMemory}.
  *
  * <p>Must not depend on how engines are reached or discovered ({@code node.upstream}, {@code
  * node.discovery}), nor decide which engine serves a request. All of it runs on one event loop.
--- a/src/test/java/larchridge/node/NodeProcess.java
+++ b/src/test/java/larchridge/node/NodeProcess.java
@@ -14,7 +14,7 @@
 
 /**
  * A node in a separate process, between scripted engines and a scripted discovery agent in this
- * one.
+ * one. Heap and direct memory are those that {@code deploy/node.sh} gives a node of 192 MB.
  */
 final class NodeProcess implements AutoCloseable {
     private static final long START_NANOS = 30_000_000_000L;
@@ -60,7 +60,9 @@
                         "-c",
                         "ulimit -n " + descriptors + "; exec \"$0\" \"$@\"",
                         java,
-                        "-Xmx96m",
+                        "-XX:+UseSerialGC",
+                        "-Xmx57m",
+                        "-XX:MaxDirectMemorySize=19m",
                         "-cp",
                         System.getProperty("java.class.path"),
                         "larchridge.cli.Main",
--- a/src/test/java/larchridge/node/server/RequestBodyBufferTest.java
+++ b/src/test/java/larchridge/node/server/RequestBodyBufferTest.java
@@ -13,7 +13,7 @@
 class RequestBodyBufferTest {
     private static final int MAX_BYTES = 10;
 
-    private final BodyMemory memory = new BodyMemory(15);
+    private final RequestMemory memory = new RequestMemory(15);
     private final RequestBodyBuffer body = new RequestBodyBuffer(memory, MAX_BYTES);
 
     private static ByteBuf bytes(String text) {
@@ -23,35 +23,35 @@
     @Test
     void chunksAreJoinedInTheirOrder() {
         for (String chunk : new String[] {"ab", "c", "", "defgh", "ij"}) {
-            body.append(bytes(chunk));
+            body.tryAppend(bytes(chunk));
         }
         assertArrayEquals("abcdefghij".getBytes(StandardCharsets.ISO_8859_1), body.take());
     }
 
     @Test
     void takenBodyIsAsLongAsWhatArrived() {
-        body.append(bytes("abc"));
-        body.append(bytes("d"));
+        body.tryAppend(bytes("abc"));
+        body.tryAppend(bytes("d"));
         assertEquals(4, body.take().length);
     }
 
     @Test
     void appendingDoesNotConsumeTheContent() {
         ByteBuf content = bytes("abc");
-        body.append(content);
+        body.tryAppend(content);
         assertEquals(3, content.readableBytes());
     }
 
     @Test
     void bodyGrowsToItsLimitAndNotBeyond() {
-        body.append(bytes("abcd"));
+        body.tryAppend(bytes("abcd"));
         assertTrue(body.canGrowBy(MAX_BYTES - 4));
         assertFalse(body.canGrowBy(MAX_BYTES - 3));
     }
 
     @Test
     void memoryOfATakenBodyStaysReserved() {
-        body.append(bytes("abcd"));
+        body.tryAppend(bytes("abcd"));
         body.take();
         assertTrue(body.isEmpty());
         assertEquals(4, memory.reservedBytes());
@@ -59,7 +59,7 @@
 
     @Test
     void memoryOfADiscardedBodyIsReleased() {
-        body.append(bytes("abcd"));
+        body.tryAppend(bytes("abcd"));
         body.discard();
         assertTrue(body.isEmpty());
         assertEquals(0, memory.reservedBytes());
@@ -67,8 +67,20 @@
 
     @Test
     void memoryIsSharedWithOtherBodies() {
-        memory.reserve(9);
-        assertTrue(body.hasMemoryFor(6));
-        assertFalse(body.hasMemoryFor(7));
+        assertTrue(memory.tryReserve(9));
+        assertFalse(body.tryAppend(bytes("abcdefg")));
+        assertTrue(body.isEmpty());
+        assertTrue(body.tryAppend(bytes("abcdef")));
+        assertEquals(15, memory.reservedBytes());
+    }
+
+    /** Guards against: a buffer that has doubled occupied up to twice what was counted. */
+    @Test
+    void unusedCapacityIsReservedUntilTheBodyIsTaken() {
+        body.tryAppend(bytes("abcd"));
+        body.tryAppend(bytes("e"));
+        assertEquals(8, memory.reservedBytes());
+        body.take();
+        assertEquals(5, memory.reservedBytes());
     }
 }
