Node: of an engine's answer only the headers that are read are kept

Change: ResponseHeaders keeps the seven headers that the node or Netty's decoder reads and drops the others as they are decoded; over 32 of the kept ones are a malformed answer.

Not shown with engines over sockets; found by reading.

--- a/src/main/java/larchridge/node/upstream/AttemptResponseDecoder.java
+++ b/src/main/java/larchridge/node/upstream/AttemptResponseDecoder.java
@@ -16,8 +16,12 @@
     /** Value of {@link #cachedTokens()} for a body without a valid count. */
     static final int NO_COUNT = -1;
 
-    private static final String LOAD_REPORT_NAME = "Srv-Load";
-    private static final String DECLINED_HEADER = "Srv-Declined";
+    /** The header, or the comment in a stream, with a load report. */
+    static final String LOAD_REPORT_NAME = "Srv-Load";
+
+    /** The header with which an engine states that it did not run the request. */
+    static final String DECLINED_HEADER = "Srv-Declined";
+
     private static final String DECLINED_VALUE = "1";
     private static final String CACHED_TOKENS_FIELD = "cached_tokens";
     private static final int MAX_EVENT_BYTES = 1 << 16;
--- a/src/main/java/larchridge/node/upstream/UpstreamChannelInitializer.java
+++ b/src/main/java/larchridge/node/upstream/UpstreamChannelInitializer.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
@@ -12,6 +13,8 @@
     private static final int MAX_HEADER_BYTES = 8192;
     private static final int MAX_CHUNK_BYTES = 1 << 16;
 
+    private static final HttpHeadersFactory HEADERS = new ResponseHeaders.Factory();
+
     private final UpstreamConnection connection;
 
     UpstreamChannelInitializer(UpstreamConnection connection) {
@@ -26,7 +29,9 @@
                                 new HttpDecoderConfig()
                                         .setMaxInitialLineLength(MAX_STATUS_LINE_BYTES)
                                         .setMaxHeaderSize(MAX_HEADER_BYTES)
-                                        .setMaxChunkSize(MAX_CHUNK_BYTES)))
+                                        .setMaxChunkSize(MAX_CHUNK_BYTES)
+                                        .setHeadersFactory(HEADERS)
+                                        .setTrailersFactory(HEADERS)))
                 .addLast(new HttpRequestEncoder())
                 .addLast(connection);
     }
