Node: the process exits when an error has ended its only event loop

Cause: NodeMain waited for a latch that only the shutdown counts down, and the shutdown runs on the loop. The waits of a start (build, first list) had the same fault. NioIoHandler passes an Error on, which ends the thread.

A shutdown is no failure.

--- a/src/main/java/larchridge/node/Node.java
+++ b/src/main/java/larchridge/node/Node.java
@@ -55,7 +55,9 @@
     private final CountDownLatch terminated = new CountDownLatch(1);
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(
-                    1, TimerRoundingIoHandler.wrap(NioIoHandler.newFactory()));
+                    1,
+                    new LoopThreadFactory(this::loopThreadEnded),
+                    TimerRoundingIoHandler.wrap(NioIoHandler.newFactory()));
     private final EventLoop loop = (EventLoop) group.next();
     private final ByteBufAllocator allocator =
             new PooledByteBufAllocator(
@@ -80,6 +82,9 @@
     /** Null until built on the event loop, and permanently if building failed. */
     private NodeComponents components;
 
+    private volatile boolean loopFailed;
+    private volatile Runnable loopFailureListener = () -> {};
+
     private Node(Map<String, String> environment, NodeConfiguration configuration) {
         this.configuration = configuration;
         String idPrefix =
@@ -188,7 +193,28 @@
         }
     }
 
-    /** Returns once the shutdown is complete. */
+    /**
+     * Sets what runs if an error ends the event loop, on the thread of the loop. The node can't
+     * serve any more then, nor complete its start.
+     */
+    void onLoopFailure(Runnable listener) {
+        loopFailureListener = listener;
+    }
+
+    /** Whether an error has ended the event loop; callable from any thread. */
+    boolean hasLoopFailed() {
+        return loopFailed;
+    }
+
+    private void loopThreadEnded() {
+        if (terminated.getCount() > 0) {
+            loopFailed = true;
+            terminated.countDown();
+            loopFailureListener.run();
+        }
+    }
+
+    /** Returns once the shutdown is complete, or an error has ended the event loop. */
     void awaitTermination() throws InterruptedException {
         terminated.await();
         group.shutdownGracefully(0, LOOP_SHUTDOWN_TIMEOUT_MS, TimeUnit.MILLISECONDS)
