Node: a connection keeps at most 16 KiB of a read and 32 KiB of writes in direct memory

Callers saw: 380 clients that send a body of 200 KB, get their answer and then send one byte of the next request make a node of 192 MB close other clients' connections without an answer.

Netty's decoder keeps the buffer of the last socket read while a line is incomplete, and the size of the next read grows to 64 KiB after large ones: 380 x 64 KiB are over the 19 MB of direct memory. The read that finds none closes its own connection (OutOfDirectMemoryError), whoever it belongs to.

Change: ConnectionBuffers limits a read to 16 KiB, for clients and engines, and the writes that wait for a client to 32 KiB instead of 64. 430 clients and 460 engine connections, a node's most, keep 14 MB of reads.

Tests: MemoryExhaustionTest.incompleteLinesBehindLargeBodies... failed on (no answer in 10 s) with the direct memory of deploy/node.sh at 192 MB and passes now. The limit of writes is not shown to have failed, by reading.

--- a/src/main/java/larchridge/node/server/HttpServer.java
+++ b/src/main/java/larchridge/node/server/HttpServer.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import larchridge.node.transport.ConnectionBuffers;
 
 /**
  * The HTTP server of a node for its clients: the listener and the lifecycle of its connections.
@@ -50,6 +51,10 @@
                         .handler(new AcceptFailureHandler())
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childOption(ChannelOption.ALLOCATOR, allocator)
+                        .childOption(ChannelOption.RECVBUF_ALLOCATOR, ConnectionBuffers.readSizes())
+                        .childOption(
+                                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                                ConnectionBuffers.writeLimits())
                         .childHandler(
                                 new ChannelInitializer<Channel>() {
                                     @Override
--- a/src/main/java/larchridge/node/upstream/SocketConnectionOpener.java
+++ b/src/main/java/larchridge/node/upstream/SocketConnectionOpener.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import larchridge.node.transport.ConnectionBuffers;
 import larchridge.upstream.Endpoint;
 
 /** Opens TCP connections that run on the node's event loop. */
@@ -21,6 +22,7 @@
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.ALLOCATOR, allocator)
                         .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.RECVBUF_ALLOCATOR, ConnectionBuffers.readSizes())
                         .option(
                                 ChannelOption.CONNECT_TIMEOUT_MILLIS,
                                 Math.max(1, (int) settings.connectTimeoutMs()));
--- a/src/test/java/larchridge/node/MemoryExhaustionTest.java
+++ b/src/test/java/larchridge/node/MemoryExhaustionTest.java
@@ -148,6 +148,25 @@
         assertServes();
     }
 
+    /**
+     * Failed before: one waiting byte kept a read buffer of 64 KiB, and connections were closed.
+     */
+    @Test
+    void incompleteLinesBehindLargeBodiesDoNotExhaustTheDirectMemory() throws Exception {
+        String body = "x".repeat(200_000);
+        String healthRequest =
+                "GET /up HTTP/1.1\r\nHost: n\r\nContent-Length: " + body.length() + "\r\n\r\n";
+        for (int i = 0; i < MANY_CLIENTS; i++) {
+            RawClient client = newBadClient();
+            client.send(healthRequest + body);
+            assertTrue(client.readResponse().startsWith("HTTP/1.1 200 "));
+        }
+        for (RawClient client : badClients) {
+            client.send("P");
+        }
+        assertServes();
+    }
+
     /** What an incomplete request has reserved is released when its client leaves. */
     @Test
     void memoryOfIncompleteRequestsIsReleasedWhenTheirClientsLeave() throws Exception {
