Batch: an Error in a task of the event loop is logged and reaches whoever waits for it

ThreadEventLoop caught exceptions only; the executor kept an Error in a future that nobody reads. A call on the loop then waited 30 s for its result, and a batch whose blocking work had failed so waited for it for ever.

Change: runAndLogFailure logs errors too, call() and runBlocking() hand them on (a listener gets them as the cause of an ExecutionException).

--- a/src/main/java/larchridge/batch/ThreadEventLoop.java
+++ b/src/main/java/larchridge/batch/ThreadEventLoop.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -80,7 +81,7 @@
     private static void runAndLogFailure(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOG.error("a task on the batch event loop failed", e);
         }
     }
@@ -94,6 +95,9 @@
                         execute(() -> onDone.accept(result, null));
                     } catch (Exception e) {
                         execute(() -> onDone.accept(null, e));
+                    } catch (Error e) {
+                        // Without this, whoever started the work would wait for it for ever.
+                        execute(() -> onDone.accept(null, new ExecutionException(e)));
                     }
                 });
     }
@@ -106,7 +110,7 @@
                     () -> {
                         try {
                             result.complete(task.call());
-                        } catch (Exception e) {
+                        } catch (Exception | Error e) {
                             result.completeExceptionally(e);
                         }
                     });
