Node: a pause after an attempt's end no longer stops the reads of a resting connection

ForwardedAttempt.pause then switched off the reads of its connection, which rests by then or serves the next request: that one goes without an answer, and the engine's close is not seen. resume() asked for the state, pause() did not.

--- a/src/main/java/larchridge/node/upstream/ForwardedAttempt.java
+++ b/src/main/java/larchridge/node/upstream/ForwardedAttempt.java
@@ -254,6 +254,10 @@
 
     @Override
     public void pause() {
+        if (state == AttemptState.ENDED) {
+            // Its connection may be idle, or serve another attempt.
+            return;
+        }
         paused = true;
         if (connection != null) {
             connection.setAutoRead(false);
--- a/src/test/java/larchridge/node/upstream/UpstreamConnectionTest.java
+++ b/src/test/java/larchridge/node/upstream/UpstreamConnectionTest.java
@@ -127,6 +127,24 @@
         assertFalse(opened.get(0).isOpen());
     }
 
+    /**
+     * Guards against: the last bytes of a response fill the client's write buffer, the pause that
+     * follows stops the reads of the idle connection for good, and the next request on it goes
+     * without an answer.
+     */
+    @Test
+    void pauseAfterTheEndOfAnAttemptDoesNotStopReadsOfItsConnection() {
+        RecordingListener first = new RecordingListener();
+        UpstreamClient.AttemptHandle attempt = read("9b1f03aa5c7e2d41", MAY_BE_SENT, first);
+        respond(opened.get(0), READ_RESPONSE);
+        assertEquals(1, first.reads);
+        attempt.pause();
+        fixture.advance(10);
+        read("9b1f03aa5c7e2d42", MAY_BE_SENT, new RecordingListener());
+        assertEquals(1, opened.size());
+        assertTrue(opened.get(0).config().isAutoRead());
+    }
+
     @Test
     void connectionThatOpensForACancelledAttemptIsNotWrittenTo() {
         connects = false;
