Node: incomplete events of all engines' streams share a bound

After one large read a stream also kept a buffer of that size for good.

Change: EventStreamSplitter shrinks its buffer when its events are complete and reserves what is left beyond 512 bytes in a MemoryBudget of 0.1 of the heap; a stream for which there is none has failed. MemoryBudget, before RequestMemory, moves to node.transport, since server and upstream don't know each other.

Not shown over sockets.

--- a/src/main/java/larchridge/node/NodeAssembler.java
+++ b/src/main/java/larchridge/node/NodeAssembler.java
@@ -47,6 +47,9 @@
      */
     private static final double REQUEST_MEMORY_FRACTION = 0.2;
 
+    /** Fraction of the memory that incomplete events of engines' responses may use. */
+    private static final double EVENT_MEMORY_FRACTION = 0.1;
+
     private static final int BYTES_PER_GENERATION = 16 << 10;
     private static final int MIN_OPEN_GENERATIONS = 16;
     private static final double REQUEST_PART_TIMEOUT_MS = 2000;
@@ -80,6 +83,7 @@
     private final ByteBufAllocator allocator;
     private final NettyScheduler scheduler;
     private final long requestMemoryBytes;
+    private final long eventMemoryBytes;
 
     NodeAssembler(
             NodeConfiguration configuration, ByteBufAllocator allocator, NettyScheduler scheduler) {
@@ -93,6 +97,7 @@
                         (double) Runtime.getRuntime().maxMemory(),
                         configuration.memoryMb() * BYTES_PER_MEBIBYTE);
         requestMemoryBytes = (long) (memoryBytes * REQUEST_MEMORY_FRACTION);
+        eventMemoryBytes = (long) (memoryBytes * EVENT_MEMORY_FRACTION);
     }
 
     /** Builds all components and starts polling discovery. */
@@ -149,6 +154,7 @@
                 settings.maxStateHoldMs(),
                 (int) engineSockets,
                 (int) (engineSockets / SINGLE_ENGINE_SOCKETS_DIVISOR),
+                eventMemoryBytes,
                 settings.reportFields());
     }
 
--- a/src/main/java/larchridge/node/NodeWarmup.java
+++ b/src/main/java/larchridge/node/NodeWarmup.java
@@ -102,6 +102,7 @@
                 settings.maxStateHoldMs(),
                 MAX_CONNECTIONS,
                 MAX_CONNECTIONS_PER_ENGINE,
+                MAX_BUFFERED_BYTES,
                 settings.reportFields());
     }
 
--- a/src/main/java/larchridge/node/server/PipelineQueue.java
+++ b/src/main/java/larchridge/node/server/PipelineQueue.java
@@ -11,6 +11,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import larchridge.node.transport.MemoryBudget;
 
 /**
  * Queues parts of pipelined requests, up to a limit, while an earlier request is served. Parts
@@ -26,7 +27,7 @@
     /** Size that is assumed for the head of a request. */
     private static final int HEAD_BYTES = 4096;
 
-    private final RequestMemory memory;
+    private final MemoryBudget memory;
     private final int maxBytes;
     private final Deque<QueuedPart> parts = new ArrayDeque<>();
     private int bytes;
@@ -44,7 +45,7 @@
     /** The end of a request, without content. */
     private record QueuedEnd(LastHttpContent end) implements QueuedPart {}
 
-    PipelineQueue(RequestMemory memory, int maxBytes) {
+    PipelineQueue(MemoryBudget memory, int maxBytes) {
         this.memory = memory;
         this.maxBytes = maxBytes;
     }
--- a/src/main/java/larchridge/node/server/RequestBodyBuffer.java
+++ b/src/main/java/larchridge/node/server/RequestBodyBuffer.java
@@ -2,12 +2,13 @@
 
 import io.netty.buffer.ByteBuf;
 import java.util.Arrays;
+import larchridge.node.transport.MemoryBudget;
 
 /** Aggregates the body of a request and accounts for its memory. */
 final class RequestBodyBuffer {
     private static final byte[] EMPTY = new byte[0];
 
-    private final RequestMemory memory;
+    private final MemoryBudget memory;
     private final int maxBytes;
 
     /** Reserved in full, with the part that is not used yet. */
@@ -15,7 +16,7 @@
 
     private int length;
 
-    RequestBodyBuffer(RequestMemory memory, int maxBytes) {
+    RequestBodyBuffer(MemoryBudget memory, int maxBytes) {
         this.memory = memory;
         this.maxBytes = maxBytes;
     }
--- a/src/main/java/larchridge/node/server/RequestHeaders.java
+++ b/src/main/java/larchridge/node/server/RequestHeaders.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import larchridge.node.transport.MemoryBudget;
 
 /**
  * The head of one request, whose memory is reserved as its lines are decoded, before it is
@@ -19,11 +20,11 @@
      */
     private static final int HEADER_BYTES = 160;
 
-    private final RequestMemory memory;
+    private final MemoryBudget memory;
     private int reservedBytes;
     private boolean discarded;
 
-    RequestHeaders(RequestMemory memory) {
+    RequestHeaders(MemoryBudget memory) {
         this.memory = memory;
     }
 
--- a/src/main/java/larchridge/node/server/RequestHeadersFactory.java
+++ b/src/main/java/larchridge/node/server/RequestHeadersFactory.java
@@ -2,17 +2,18 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpHeadersFactory;
+import larchridge.node.transport.MemoryBudget;
 
 /** Creates the {@link RequestHeaders} of one connection, one request after the other. */
 final class RequestHeadersFactory implements HttpHeadersFactory {
-    private final RequestMemory memory;
+    private final MemoryBudget memory;
 
     /** Headers of the request that is being decoded, or that was decoded last. */
     private RequestHeaders latest;
 
     private boolean discarding;
 
-    RequestHeadersFactory(RequestMemory memory) {
+    RequestHeadersFactory(MemoryBudget memory) {
         this.memory = memory;
         latest = new RequestHeaders(memory);
     }
--- a/src/main/java/larchridge/node/server/ServerContext.java
+++ b/src/main/java/larchridge/node/server/ServerContext.java
@@ -4,6 +4,7 @@
 import larchridge.audit.ConnectionPeer;
 import larchridge.audit.RequestEvents;
 import larchridge.metrics.RouterMetrics;
+import larchridge.node.transport.MemoryBudget;
 import larchridge.router.Router;
 import larchridge.router.Scheduler;
 import larchridge.site.Site;
@@ -20,7 +21,7 @@
     final ServerLimits limits;
     final RequestEvents events;
     final ConnectionRegistry connections;
-    final RequestMemory requestMemory;
+    final MemoryBudget requestMemory;
     final RequestIds requestIds = new RequestIds();
     private final RouterMetrics metrics;
     private boolean ready;
@@ -34,7 +35,7 @@
         events = dependencies.events();
         metrics = dependencies.metrics();
         connections = new ConnectionRegistry(limits.maxConnections());
-        requestMemory = new RequestMemory(limits.maxBufferedBytes());
+        requestMemory = new MemoryBudget(limits.maxBufferedBytes());
     }
 
     void markReady() {
--- a/src/main/java/larchridge/node/server/StrictRequestDecoder.java
+++ b/src/main/java/larchridge/node/server/StrictRequestDecoder.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
+import larchridge.node.transport.MemoryBudget;
 
 /**
  * Netty's request decoder, except that a content length next to a chunked coding stays visible:
@@ -29,12 +30,12 @@
      * @param memory accounts for the heads of requests
      * @param requestStarted runs at the first byte of each request
      */
-    StrictRequestDecoder(RequestMemory memory, Runnable requestStarted) {
+    StrictRequestDecoder(MemoryBudget memory, Runnable requestStarted) {
         this(new RequestHeadersFactory(memory), memory, requestStarted);
     }
 
     private StrictRequestDecoder(
-            RequestHeadersFactory headers, RequestMemory memory, Runnable requestStarted) {
+            RequestHeadersFactory headers, MemoryBudget memory, Runnable requestStarted) {
         super(
                 new HttpDecoderConfig()
                         .setMaxInitialLineLength(MAX_LINE_BYTES)
@@ -47,7 +48,7 @@
     }
 
     /** Trailers are not used; what a client sends of them must not occupy memory. */
-    private static RequestHeadersFactory discardingFactory(RequestMemory memory) {
+    private static RequestHeadersFactory discardingFactory(MemoryBudget memory) {
         RequestHeadersFactory factory = new RequestHeadersFactory(memory);
         factory.discardAll();
         return factory;
--- a/src/main/java/larchridge/node/server/package-info.java
+++ b/src/main/java/larchridge/node/server/package-info.java
@@ -9,7 +9,7 @@
  * larchridge.node.server.ClientExchange} (respond) and {@link
  * larchridge.node.server.ConnectionCloser} (close). What a request occupies on the heap, from the
  * first line of its head to its final response, counts against {@link
- * larchridge.node.server.RequestMemory}.
+ * larchridge.node.transport.MemoryBudget}.
  *
  * <p>Must not depend on how engines are reached or discovered ({@code node.upstream}, {@code
  * node.discovery}), nor decide which engine serves a request. All of it runs on one event loop.
--- a/src/main/java/larchridge/node/transport/MemoryBudget.java
+++ b/src/main/java/larchridge/node/transport/MemoryBudget.java
@@ -1,20 +1,20 @@
-package larchridge.node.server;
+package larchridge.node.transport;
 
 /**
- * Counts the heap memory of all buffered parts of requests, over all connections, against a limit.
- * Callers reserve what a part occupies as objects, not the length of its content: a part with one
- * byte of content may occupy a hundred times as much.
+ * Counts heap memory against a limit. Callers reserve what they keep as objects, not the length of
+ * its content: a part of a message with one byte of content may occupy a hundred times as much.
  */
-final class RequestMemory {
+public final class MemoryBudget {
     private final long maxBytes;
     private long reservedBytes;
 
-    RequestMemory(long maxBytes) {
+    /** Creates a budget of which nothing is reserved. */
+    public MemoryBudget(long maxBytes) {
         this.maxBytes = maxBytes;
     }
 
     /** Reserves memory; returns false, without reserving any, if the limit would be exceeded. */
-    boolean tryReserve(int bytes) {
+    public boolean tryReserve(int bytes) {
         if (reservedBytes + bytes > maxBytes) {
             return false;
         }
@@ -22,11 +22,13 @@
         return true;
     }
 
-    void release(int bytes) {
+    /** Releases reserved memory. */
+    public void release(int bytes) {
         reservedBytes -= bytes;
     }
 
-    long reservedBytes() {
+    /** Returns how much is reserved. */
+    public long reservedBytes() {
         return reservedBytes;
     }
 }
--- a/src/main/java/larchridge/node/upstream/AttemptResponseDecoder.java
+++ b/src/main/java/larchridge/node/upstream/AttemptResponseDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
+import larchridge.node.transport.MemoryBudget;
 import larchridge.state.LoadReport;
 
 /**
@@ -28,6 +29,7 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final ConfiguredLoadReportParser loadReportParser;
+    private final MemoryBudget eventMemory;
 
     /** Null unless the response is a streamed answer. */
     private EventStreamSplitter events;
@@ -37,8 +39,9 @@
 
     private LoadReport loadReport;
 
-    AttemptResponseDecoder(ConfiguredLoadReportParser loadReportParser) {
+    AttemptResponseDecoder(ConfiguredLoadReportParser loadReportParser, MemoryBudget eventMemory) {
         this.loadReportParser = loadReportParser;
+        this.eventMemory = eventMemory;
     }
 
     /** Whether the engine states that it did not run the request. */
@@ -49,7 +52,7 @@
     /** Reads the load report in the headers and prepares to decode the events of an answer. */
     void responseHeadReceived(HttpResponse response) {
         if (response.status().code() == HttpResponseStatus.OK.code()) {
-            events = new EventStreamSplitter(MAX_EVENT_BYTES, LOAD_REPORT_NAME);
+            events = new EventStreamSplitter(MAX_EVENT_BYTES, LOAD_REPORT_NAME, eventMemory);
         }
         loadReport = loadReportParser.parse(response.headers().get(LOAD_REPORT_NAME));
     }
@@ -87,6 +90,13 @@
         }
     }
 
+    /** Releases the memory of the response; what is received from now on is ignored. */
+    void release() {
+        if (events != null) {
+            events.release();
+        }
+    }
+
     /** Returns the number of prompt tokens that the engine had cached, or {@link #NO_COUNT}. */
     int cachedTokens() {
         try {
--- a/src/main/java/larchridge/node/upstream/EventStreamSplitter.java
+++ b/src/main/java/larchridge/node/upstream/EventStreamSplitter.java
@@ -4,6 +4,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import larchridge.node.transport.MemoryBudget;
 
 /**
  * Splits a stream of server-sent events into complete events, which are forwarded byte for byte.
@@ -16,18 +17,29 @@
     private static final byte[] DONE = "data: [DONE]".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] DATA_START = "data: {".getBytes(StandardCharsets.US_ASCII);
 
+    private static final byte[] EMPTY = new byte[0];
+
     /** An event ends with two line feeds. */
     private static final int SEPARATOR_BYTES = 2;
 
     private static final int INITIAL_BUFFER_BYTES = 512;
 
+    /** A buffer that is over this many times as long as its content shrinks. */
+    private static final int SHRINK_FACTOR = 4;
+
     private final int maxEventBytes;
+    private final MemoryBudget memory;
     private final String loadReportName;
 
     /** Holds {@link #length} bytes of an incomplete event. */
     private byte[] buffer = new byte[INITIAL_BUFFER_BYTES];
 
     private int length;
+
+    /** What of the buffer is reserved: all beyond its initial size. */
+    private int reservedBytes;
+
+    private boolean released;
     private boolean done;
     private boolean malformed;
     private String loadReport;
@@ -37,8 +49,10 @@
      *
      * @param maxEventBytes maximum size of an event
      * @param loadReportName name with which the comment of a load report starts, after the colon
+     * @param memory bounds the incomplete events of all streams together
      */
-    EventStreamSplitter(int maxEventBytes, String loadReportName) {
+    EventStreamSplitter(int maxEventBytes, String loadReportName, MemoryBudget memory) {
+        this.memory = memory;
         this.maxEventBytes = maxEventBytes;
         this.loadReportName = loadReportName;
     }
@@ -48,7 +62,7 @@
      */
     byte[] feed(ByteBuf received) {
         int size = received.readableBytes();
-        if (malformed || size == 0) {
+        if (malformed || released || size == 0) {
             return null;
         }
         int searchFrom = Math.max(0, length - 1);
@@ -89,8 +103,30 @@
     private void discard(int bytes) {
         System.arraycopy(buffer, bytes, buffer, 0, length - bytes);
         length -= bytes;
-        // Guards against: an event without an end would exhaust the memory.
-        malformed |= length > maxEventBytes;
+        if (SHRINK_FACTOR * Math.max(length, INITIAL_BUFFER_BYTES) < buffer.length) {
+            buffer = Arrays.copyOf(buffer, Math.max(2 * length, INITIAL_BUFFER_BYTES));
+        }
+        // Guards against: events without an end would exhaust the memory.
+        malformed |= length > maxEventBytes || !tryReserveBuffer();
+    }
+
+    private boolean tryReserveBuffer() {
+        int neededBytes = Math.max(0, buffer.length - INITIAL_BUFFER_BYTES);
+        if (neededBytes <= reservedBytes) {
+            memory.release(reservedBytes - neededBytes);
+        } else if (!memory.tryReserve(neededBytes - reservedBytes)) {
+            return false;
+        }
+        reservedBytes = neededBytes;
+        return true;
+    }
+
+    /** Releases the memory of an incomplete event; further bytes are ignored. */
+    void release() {
+        released = true;
+        buffer = EMPTY;
+        memory.release(reservedBytes);
+        reservedBytes = 0;
     }
 
     /**
--- a/src/main/java/larchridge/node/upstream/ForwardedAttempt.java
+++ b/src/main/java/larchridge/node/upstream/ForwardedAttempt.java
@@ -67,7 +67,7 @@
         this.kind = kind;
         trackedRequest = context.releaser().attemptStarted(attemptRequest.forwardedRequest().id());
         pool = context.pools().pool(attemptRequest.endpoint());
-        decoder = new AttemptResponseDecoder(context.loadReportParser());
+        decoder = new AttemptResponseDecoder(context.loadReportParser(), context.eventMemory());
     }
 
     /** Starts the attempt on a connection, or rejects it if none is available. */
@@ -305,6 +305,7 @@
             return;
         }
         state = AttemptState.ENDED;
+        decoder.release();
         if (paused && connection != null) {
             connection.setAutoRead(true);
         }
--- a/src/main/java/larchridge/node/upstream/ForwardingUpstreamClient.java
+++ b/src/main/java/larchridge/node/upstream/ForwardingUpstreamClient.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import java.util.List;
 import larchridge.audit.RequestEvents;
+import larchridge.node.transport.MemoryBudget;
 import larchridge.router.Scheduler;
 import larchridge.upstream.AttemptListener;
 import larchridge.upstream.AttemptRequest;
@@ -62,7 +63,8 @@
                         pools,
                         new ConfiguredLoadReportParser(settings.loadReportFields()),
                         releaser,
-                        requestEvents);
+                        requestEvents,
+                        new MemoryBudget(settings.maxEventBytes()));
     }
 
     /**
--- a/src/main/java/larchridge/node/upstream/UpstreamContext.java
+++ b/src/main/java/larchridge/node/upstream/UpstreamContext.java
@@ -1,6 +1,7 @@
 package larchridge.node.upstream;
 
 import larchridge.audit.RequestEvents;
+import larchridge.node.transport.MemoryBudget;
 import larchridge.router.Scheduler;
 
 /**
@@ -11,10 +12,12 @@
  * @param loadReportParser parses load reports in responses
  * @param releaser tracks the states that attempts leave or fetch
  * @param requestEvents receives the events of attempts
+ * @param eventMemory bounds the incomplete events of all responses
  */
 record UpstreamContext(
         Scheduler scheduler,
         ConnectionPools pools,
         ConfiguredLoadReportParser loadReportParser,
         StateReleaser releaser,
-        RequestEvents requestEvents) {}
+        RequestEvents requestEvents,
+        MemoryBudget eventMemory) {}
--- a/src/main/java/larchridge/node/upstream/UpstreamSettings.java
+++ b/src/main/java/larchridge/node/upstream/UpstreamSettings.java
@@ -10,6 +10,7 @@
  * @param stateHoldMs maximum time for which an engine may hold a read state before its release
  * @param maxConnections maximum number of connections to all engines
  * @param maxConnectionsPerEndpoint maximum number of connections to one engine
+ * @param maxEventBytes maximum heap memory of the incomplete events of all responses
  * @param loadReportFields names of the metrics in load reports
  */
 public record UpstreamSettings(
@@ -18,4 +19,5 @@
         double stateHoldMs,
         int maxConnections,
         int maxConnectionsPerEndpoint,
+        long maxEventBytes,
         List<String> loadReportFields) {}
--- a/src/test/java/larchridge/node/server/PipelineQueueTest.java
+++ b/src/test/java/larchridge/node/server/PipelineQueueTest.java
@@ -18,15 +18,16 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
+import larchridge.node.transport.MemoryBudget;
 import org.junit.jupiter.api.Test;
 
 class PipelineQueueTest {
     private static final int MAX_BYTES = 100;
     private static final int MAX_BYTES_WITH_HEADS = 10_000;
 
-    private final RequestMemory memory = new RequestMemory(150);
+    private final MemoryBudget memory = new MemoryBudget(150);
     private final PipelineQueue queue = new PipelineQueue(memory, MAX_BYTES);
-    private final RequestMemory largeMemory = new RequestMemory(1_000_000);
+    private final MemoryBudget largeMemory = new MemoryBudget(1_000_000);
     private final PipelineQueue largeQueue = new PipelineQueue(largeMemory, MAX_BYTES_WITH_HEADS);
 
     private static HttpContent content(int bytes) {
--- a/src/test/java/larchridge/node/server/RequestBodyBufferTest.java
+++ b/src/test/java/larchridge/node/server/RequestBodyBufferTest.java
@@ -8,12 +8,13 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import larchridge.node.transport.MemoryBudget;
 import org.junit.jupiter.api.Test;
 
 class RequestBodyBufferTest {
     private static final int MAX_BYTES = 10;
 
-    private final RequestMemory memory = new RequestMemory(15);
+    private final MemoryBudget memory = new MemoryBudget(15);
     private final RequestBodyBuffer body = new RequestBodyBuffer(memory, MAX_BYTES);
 
     private static ByteBuf bytes(String text) {
--- a/src/test/java/larchridge/node/server/RequestHeadersTest.java
+++ b/src/test/java/larchridge/node/server/RequestHeadersTest.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
+import larchridge.node.transport.MemoryBudget;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -22,7 +23,7 @@
     /** The least that a header occupies: an entry and two strings. */
     private static final int MIN_HEADER_BYTES = 120;
 
-    private final RequestMemory memory = new RequestMemory(MAX_BYTES);
+    private final MemoryBudget memory = new MemoryBudget(MAX_BYTES);
     private final StrictRequestDecoder decoder = new StrictRequestDecoder(memory, () -> {});
     private final EmbeddedChannel channel = new EmbeddedChannel(decoder);
 
--- a/src/test/java/larchridge/node/upstream/ForwardingUpstreamClientFixture.java
+++ b/src/test/java/larchridge/node/upstream/ForwardingUpstreamClientFixture.java
@@ -12,7 +12,7 @@
     static final double KEEP_ALIVE_MS = 15_000;
 
     private static final UpstreamSettings SETTINGS =
-            new UpstreamSettings(250, KEEP_ALIVE_MS, 1000, 100, 50, List.of());
+            new UpstreamSettings(250, KEEP_ALIVE_MS, 1000, 100, 50, 1 << 20, List.of());
 
     final VirtualTimeScheduler time = new VirtualTimeScheduler();
     final ForwardingUpstreamClient client;
