--- a/src/main/java/larchridge/node/Node.java
+++ b/src/main/java/larchridge/node/Node.java
@@ -55,9 +55,7 @@
     private final CountDownLatch terminated = new CountDownLatch(1);
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(
-                    1,
-                    new LoopThreadFactory(this::loopThreadEnded),
-                    TimerRoundingIoHandler.wrap(NioIoHandler.newFactory()));
+                    1, new LoopThreadFactory(this::loopThreadEnded), NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) group.next();
     private final ByteBufAllocator allocator =
             new PooledByteBufAllocator(
