Store: a repeated deletion is judged on the loop, and takes nothing from other files

Cause: BatchEndpoint.deleteFile looked the record up on the caller's thread and Store.deleteFile did not look again, so both tries took a reference off the content and the size off the tenant's sum. Relatives: finishBatch and updateBatch(FAILED) on a batch that has ended took the input's use off again, so that another batch's input could be deleted; Batches took a missing input for a store that fails for a while.

Change: deleteFile takes an id, reads the record on the loop and says DELETED, INPUT_IN_USE or NO_SUCH_FILE (404). The end of an ended batch changes nothing. A batch whose input is gone ends as failed with input_damaged.

Tests that asked a boolean of deleteFile now name the result.

--- a/src/main/java/larchridge/batch/BatchEndpoint.java
+++ b/src/main/java/larchridge/batch/BatchEndpoint.java
@@ -244,9 +244,11 @@
 
     private void deleteFile(Response response, FileRecord file)
             throws BatchApiException, IOException {
-        boolean deleted = callOnLoop(batches -> service.store().deleteFile(file));
-        if (!deleted) {
-            throw BatchApiException.conflict("a batch that is not over reads this file");
+        switch (callOnLoop(batches -> service.store().deleteFile(file.getId()))) {
+            case INPUT_IN_USE ->
+                    throw BatchApiException.conflict("a batch that is not over reads this file");
+            case NO_SUCH_FILE -> throw BatchApiException.notFound("file: " + file.getId());
+            case DELETED -> {}
         }
         sendJson(
                 response,
--- a/src/main/java/larchridge/batch/BatchInputValidator.java
+++ b/src/main/java/larchridge/batch/BatchInputValidator.java
@@ -14,7 +14,6 @@
 import larchridge.site.BatchSettings;
 import larchridge.store.Store;
 import larchridge.store.proto.BatchRecord;
-import larchridge.store.proto.FileRecord;
 import larchridge.store.proto.InputError;
 
 /**
@@ -68,11 +67,10 @@
     }
 
     Result validate(BatchRecord batch) throws IOException {
-        FileRecord file = store.file(batch.getInput());
         List<InputError> faults = new ArrayList<>();
         long lineCount = 0;
         store.forgetCustomIds(batch.getId());
-        try (FileChannel channel = store.openContent(file);
+        try (FileChannel channel = store.openInput(batch);
                 LineReader lines = new LineReader(channel, settings.maxLineBytes, 0, 0)) {
             for (LineReader.Line line = lines.next();
                     line != null && faults.size() < MAX_FAULTS;
--- a/src/main/java/larchridge/batch/Batches.java
+++ b/src/main/java/larchridge/batch/Batches.java
@@ -273,6 +273,10 @@
     private void validationDone(
             ActiveBatch batch, BatchInputValidator.Result result, Exception failure)
             throws IOException {
+        if (failure instanceof Store.MissingContentException) {
+            inputMissing(batch);
+            return;
+        }
         if (failure instanceof IOException ioFailure) {
             throw ioFailure;
         }
@@ -315,7 +319,12 @@
      */
     private void startExecution(ActiveBatch batch) throws IOException {
         Site.Tenant tenant = site.tenantByName(batch.record.getTenant());
-        batch.inputChannel = store.openContent(store.file(batch.record.getInput()));
+        try {
+            batch.inputChannel = store.openInput(batch.record.build());
+        } catch (Store.MissingContentException e) {
+            inputMissing(batch);
+            return;
+        }
         batch.lineReader =
                 new LineReader(
                         batch.inputChannel,
@@ -404,6 +413,10 @@
                 (files, failure) ->
                         runStoreOperation(
                                 () -> {
+                                    if (failure instanceof Store.MissingContentException) {
+                                        inputMissing(batch);
+                                        return;
+                                    }
                                     if (failure != null) {
                                         throw failure instanceof IOException ioFailure
                                                 ? ioFailure
@@ -431,12 +444,30 @@
                                 () -> finish(batch)));
     }
 
+    /**
+     * Ends a batch whose input is gone. Guards against: each new try would fail as well, and no
+     * line of any batch starts while a store operation fails.
+     */
+    private void inputMissing(ActiveBatch batch) throws IOException {
+        LOG.atError().addKeyValue("batch", batch.id()).log("the input of a batch is gone");
+        BatchRecord.Builder updated =
+                batch.record
+                        .clone()
+                        .setState(BatchState.FAILED)
+                        .setEndedMs((long) loop.nowMs())
+                        .addFault(
+                                BatchInputValidator.fault(
+                                        "input_damaged", 0, null, "the input file is gone"));
+        store.updateBatch(updated.build());
+        removeFinished(batch, updated);
+    }
+
     private ResultFiles writeResultFiles(BatchRecord batchRecord) throws IOException {
         IncomingFile output = store.createIncomingFile();
         IncomingFile errors = null;
         long completedLines = 0;
         long failedLines = 0;
-        try (FileChannel input = store.openContent(store.file(batchRecord.getInput()));
+        try (FileChannel input = store.openInput(batchRecord);
                 LineReader lines = new LineReader(input, settings.maxLineBytes, 0, 0)) {
             errors = store.createIncomingFile();
             for (LineReader.Line line = lines.next(); line != null; line = lines.next()) {
--- a/src/main/java/larchridge/store/Store.java
+++ b/src/main/java/larchridge/store/Store.java
@@ -6,6 +6,7 @@
 import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
@@ -309,9 +310,39 @@
         return bytes == null ? null : FileRecord.parseFrom(bytes);
     }
 
-    /** Opens the content of a file; the channel stays readable even if the file is deleted. */
+    /** Thrown if a file, or its content, is not in the store. */
+    public static final class MissingContentException extends IOException {
+        private static final long serialVersionUID = 1;
+
+        MissingContentException(String fileId, Throwable cause) {
+            super("file " + fileId + " is not in the store", cause);
+        }
+    }
+
+    /**
+     * Opens the content of a file; the channel stays readable even if the file is deleted.
+     *
+     * @throws MissingContentException if the content is gone
+     */
     public FileChannel openContent(FileRecord file) throws IOException {
-        return FileChannel.open(blobPath(file.getDigest()), StandardOpenOption.READ);
+        try {
+            return FileChannel.open(blobPath(file.getDigest()), StandardOpenOption.READ);
+        } catch (NoSuchFileException e) {
+            throw new MissingContentException(file.getId(), e);
+        }
+    }
+
+    /**
+     * Opens the input of a batch.
+     *
+     * @throws MissingContentException if the file or its content is gone
+     */
+    public FileChannel openInput(BatchRecord batch) throws IOException {
+        FileRecord input = file(batch.getInput());
+        if (input == null) {
+            throw new MissingContentException(batch.getInput(), null);
+        }
+        return openContent(input);
     }
 
     /** Whether a file is the input of an active batch. */
@@ -319,10 +350,28 @@
         return activeBatchesByInput.containsKey(fileId);
     }
 
-    /** Deletes a file; returns false if it is the input of an active batch. */
-    public boolean deleteFile(FileRecord file) throws IOException {
-        if (isInputInUse(file.getId())) {
-            return false;
+    /** The result of a request to delete a file. */
+    public enum Deletion {
+        /** The file is deleted. */
+        DELETED,
+        /** The file is kept, since it is the input of an active batch. */
+        INPUT_IN_USE,
+        /** There is no such file, or no longer. */
+        NO_SUCH_FILE
+    }
+
+    /**
+     * Deletes a file. Guards against: callers look files up on other threads, and a repeated
+     * request whose look-up came before the first was committed would release the content a second
+     * time, on which files of others may depend.
+     */
+    public Deletion deleteFile(String id) throws IOException {
+        FileRecord file = file(id);
+        if (file == null) {
+            return Deletion.NO_SUCH_FILE;
+        }
+        if (isInputInUse(id)) {
+            return Deletion.INPUT_IN_USE;
         }
         Change change =
                 new Change()
@@ -335,7 +384,7 @@
             crashPoints.reached("remove blob");
             Files.deleteIfExists(blobPath(file.getDigest()));
         }
-        return true;
+        return Deletion.DELETED;
     }
 
     /**
@@ -412,11 +461,12 @@
      */
     public void updateBatch(BatchRecord batch) throws IOException {
         Change change = new Change().put(Family.BATCHES, key(batch.getId()), batch.toByteArray());
-        if (batch.getState() == BatchState.FAILED) {
+        boolean ends = batch.getState() == BatchState.FAILED && isActive(batch.getId());
+        if (ends) {
             deleteActiveState(batch, change);
         }
         commit("update batch", change);
-        if (batch.getState() == BatchState.FAILED) {
+        if (ends) {
             releaseInput(batch);
         }
     }
@@ -429,6 +479,7 @@
         }
     }
 
+    /** Must be called once for a batch: other active batches may have the same input. */
     private void releaseInput(BatchRecord batch) {
         activeBatchesByInput.computeIfPresent(
                 batch.getInput(), (id, count) -> count > 1 ? count - 1 : null);
@@ -437,11 +488,15 @@
     /**
      * Ends a batch: atomically adds its files, stores its final record and deletes the records of
      * its lines. {@code output} and {@code errors} may be null if the file would be empty. After a
-     * crash the call can be repeated with newly written files.
+     * crash the call can be repeated with newly written files; a batch that has ended keeps the
+     * files it has.
      */
     public BatchRecord finishBatch(
             BatchRecord.Builder batch, IncomingFile output, IncomingFile errors, long nowMs)
             throws IOException {
+        if (!isActive(batch.getId())) {
+            return batch(batch.getId());
+        }
         Change change = new Change();
         List<FileRecord> files = new ArrayList<>();
         if (output != null) {
--- a/src/test/java/larchridge/batch/BatchFixture.java
+++ b/src/test/java/larchridge/batch/BatchFixture.java
@@ -106,6 +106,13 @@
         return store.addFile(incoming.sync(), "g", "in.jsonl", "batch", 1);
     }
 
+    /** Damages the store: removes the content of a file and keeps its record. */
+    void deleteContent(FileRecord file) throws IOException {
+        String digest = file.getDigest();
+        Files.delete(
+                store.folder().resolve("blobs").resolve(digest.substring(0, 2)).resolve(digest));
+    }
+
     BatchRecord createBatch(FileRecord input, double windowMs) throws IOException {
         return batches.create(
                 BatchRecord.newBuilder()
--- a/src/test/java/larchridge/batch/BatchesTest.java
+++ b/src/test/java/larchridge/batch/BatchesTest.java
@@ -1,7 +1,6 @@
 package larchridge.batch;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -11,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import larchridge.store.Store;
 import larchridge.store.proto.BatchRecord;
 import larchridge.store.proto.BatchState;
 import larchridge.store.proto.FileRecord;
@@ -103,7 +103,7 @@
                     failed.getFault(1).getMessage().endsWith("of line 1"),
                     failed.getFault(1).getMessage());
             assertTrue(fixture.runsByCustomId.isEmpty());
-            assertTrue(fixture.store.deleteFile(fixture.store.file(failed.getInput())));
+            assertEquals(Store.Deletion.DELETED, fixture.store.deleteFile(failed.getInput()));
         }
     }
 
@@ -180,9 +180,38 @@
         try (BatchFixture fixture = new BatchFixture()) {
             FileRecord input = fixture.upload(BatchFixture.inputOf(3));
             fixture.createBatch(input, HOUR);
-            assertFalse(fixture.store.deleteFile(input));
+            assertEquals(Store.Deletion.INPUT_IN_USE, fixture.store.deleteFile(input.getId()));
             fixture.loop.run(60_000);
-            assertTrue(fixture.store.deleteFile(input));
+            assertEquals(Store.Deletion.DELETED, fixture.store.deleteFile(input.getId()));
+        }
+    }
+
+    /**
+     * Guards against: a batch whose input is gone is tried for ever, and no line of any other batch
+     * starts meanwhile; after a restart the service does not start.
+     */
+    @Test
+    void batchWhoseInputIsGoneEndsWithAnErrorAndOthersGoOn() throws Exception {
+        for (double ranMs : new double[] {0, 300}) {
+            for (boolean restarts : new boolean[] {false, true}) {
+                try (BatchFixture fixture = new BatchFixture()) {
+                    FileRecord input = fixture.upload(BatchFixture.inputOf(100));
+                    BatchRecord damaged = fixture.createBatch(input, HOUR);
+                    fixture.loop.run(ranMs);
+                    fixture.deleteContent(input);
+                    if (restarts) {
+                        fixture.killAndRestart();
+                    }
+                    BatchRecord other =
+                            fixture.createBatch(fixture.upload(BatchFixture.inputOf(5)), HOUR);
+                    fixture.loop.run(120_000);
+                    BatchRecord failed = fixture.batches.batch(damaged.getId());
+                    assertEquals(BatchState.FAILED, failed.getState());
+                    assertEquals("input_damaged", failed.getFault(0).getCode());
+                    assertEquals(
+                            BatchState.COMPLETED, fixture.batches.batch(other.getId()).getState());
+                }
+            }
         }
     }
 
