Messages API: a request whose client leaves in mid-stream is no longer kept in memory

Cause: MessagesResponseSink.startPings sets a timer that only a final answer ended (stopPings in completed, failed and aborted); a client that has left gets none. The endpoint's other timers and listeners end with the exchange or by themselves (by reading).

Change: MessagesEndpoint tells the sink when the exchange has ended, which ends the timer.

--- a/src/main/java/larchridge/messages/MessagesEndpoint.java
+++ b/src/main/java/larchridge/messages/MessagesEndpoint.java
@@ -147,6 +147,10 @@
         private volatile boolean finished;
         private boolean bodyDone;
         private InFlightRequest inFlightRequest;
+
+        /** Null until the request is submitted to the router. */
+        private MessagesResponseSink responseSink;
+
         private final boolean countOnly;
         private long bodyReceivedNs;
         private volatile PromptLengths.Measurement measurement;
@@ -347,8 +351,7 @@
                                                     body.engineModel(), expectedTokens, tokens))
                             .build();
             measurement = null;
-            MessagesResponseSink responseSink =
-                    new MessagesResponseSink(router, request.response(), id, body);
+            responseSink = new MessagesResponseSink(router, request.response(), id, body);
             router.submit(
                     generationRequest,
                     responseSink,
@@ -393,6 +396,9 @@
             if (inFlightRequest != null) {
                 inFlightRequest.clientDisconnected();
             }
+            if (responseSink != null) {
+                responseSink.exchangeEnded();
+            }
             router.exchangeEnded();
         }
     }
--- a/src/main/java/larchridge/messages/MessagesResponseSink.java
+++ b/src/main/java/larchridge/messages/MessagesResponseSink.java
@@ -221,6 +221,16 @@
         response.reset();
     }
 
+    /**
+     * Called when the response has ended or its connection is closed. Guards against: the router
+     * sends no final response to a client that has left, and the timer would keep the request in
+     * memory for good.
+     */
+    void exchangeEnded() {
+        stopPings();
+        clearPending();
+    }
+
     private void fail(ApiException error, boolean mayRetry) {
         response.putHeader("x-should-retry", Boolean.toString(mayRetry));
         response.setStatusCode(error.status)
--- a/src/test/java/larchridge/serve/ServiceTest.java
+++ b/src/test/java/larchridge/serve/ServiceTest.java
@@ -4,13 +4,17 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import java.lang.management.ManagementFactory;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import javax.management.ObjectName;
 import larchridge.simulatedengine.EngineProfile;
 import larchridge.state.Role;
 import larchridge.systemtest.EventStreamChecker;
@@ -174,6 +178,61 @@
         }
     }
 
+    /** Number of objects of a class that are reachable in this process. */
+    private static long reachableObjects(String className) throws Exception {
+        String histogram =
+                (String)
+                        ManagementFactory.getPlatformMBeanServer()
+                                .invoke(
+                                        new ObjectName("com.sun.management:type=DiagnosticCommand"),
+                                        "gcClassHistogram",
+                                        new Object[] {new String[0]},
+                                        new String[] {String[].class.getName()});
+        return histogram
+                .lines()
+                .map(line -> line.strip().split("\\s+"))
+                .filter(columns -> columns.length >= 4 && columns[3].equals(className))
+                .mapToLong(columns -> Long.parseLong(columns[1]))
+                .sum();
+    }
+
+    /**
+     * Guards against: a timer that only a final response ended kept each request whose client left
+     * in the middle of its stream, until the heap was full.
+     */
+    @Test
+    void requestsOfClientsThatDisconnectAreNotKeptInMemory() throws Exception {
+        try (ServiceFixture fixture = new ServiceFixture("")) {
+            for (int i = 0; i < 60; i++) {
+                HttpClientRequest request =
+                        fixture.get(
+                                fixture.http
+                                        .request(fixture.options())
+                                        .toCompletionStage()
+                                        .toCompletableFuture());
+                Future<HttpClientResponse> response =
+                        request.send(
+                                Buffer.buffer(ServiceFixture.requestBody("free", true, 50_000)));
+                if (i % 2 == 0) {
+                    fixture.get(response.toCompletionStage().toCompletableFuture());
+                }
+                request.reset();
+            }
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+            for (String className :
+                    List.of(
+                            "larchridge.messages.MessagesResponseSink",
+                            "larchridge.router.InFlightRequest",
+                            "larchridge.router.GenerationRequest")) {
+                long kept = reachableObjects(className);
+                while (kept > 0 && System.nanoTime() < end) {
+                    kept = reachableObjects(className);
+                }
+                assertEquals(0, kept, className);
+            }
+        }
+    }
+
     @Test
     void readStateIsReleasedIfTheClientDisconnectsDuringTheRead() throws Exception {
         try (ServiceFixture fixture = new ServiceFixture("")) {
