Batch: the close of the event loop runs what queued tasks queue, as the write of outcomes

Cause: Batches.addRecord queues flushAndStartLines from a task of the loop; ThreadEventLoop.close had shut the executor down by then and execute() dropped it with a log line.

--- a/src/main/java/larchridge/batch/ThreadEventLoop.java
+++ b/src/main/java/larchridge/batch/ThreadEventLoop.java
@@ -3,11 +3,13 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Delayed;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BiConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -125,10 +127,39 @@
         try {
             blockingExecutor.shutdownNow();
             blockingExecutor.awaitTermination(CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            runQueuedTasks();
             loopExecutor.shutdown();
             loopExecutor.awaitTermination(CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
+
+    /**
+     * Runs the queued tasks and those that they queue in turn; timers that are not due are dropped.
+     * Guards against: a task that records an outcome queues the write of it, which would be
+     * rejected once the loop is shut down.
+     */
+    private void runQueuedTasks() throws InterruptedException {
+        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CLOSE_TIMEOUT_MS);
+        try {
+            boolean tasksLeft = true;
+            while (tasksLeft) {
+                // Runs on the loop's thread, so that no other task is in progress.
+                tasksLeft =
+                        loopExecutor
+                                .submit(this::hasDueTasks)
+                                .get(endNs - System.nanoTime(), TimeUnit.NANOSECONDS);
+            }
+        } catch (TimeoutException e) {
+            LOG.error("the batch event loop has not run its tasks in time; closing it");
+        } catch (ExecutionException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private boolean hasDueTasks() {
+        return loopExecutor.getQueue().stream()
+                .anyMatch(task -> ((Delayed) task).getDelay(TimeUnit.NANOSECONDS) <= 0);
+    }
 }
