--- a/src/main/java/larchridge/batch/BatchEndpoint.java
+++ b/src/main/java/larchridge/batch/BatchEndpoint.java
@@ -244,11 +244,12 @@
 
     private void deleteFile(Response response, FileRecord file)
             throws BatchApiException, IOException {
-        switch (callOnLoop(batches -> service.store().deleteFile(file.getId()))) {
-            case INPUT_IN_USE ->
-                    throw BatchApiException.conflict("a batch that is not over reads this file");
-            case NO_SUCH_FILE -> throw BatchApiException.notFound("file: " + file.getId());
-            case DELETED -> {}
+        Store.Deletion deletion = callOnLoop(batches -> service.store().deleteFile(file.getId()));
+        if (deletion == Store.Deletion.INPUT_IN_USE) {
+            throw BatchApiException.conflict("a batch that is not over reads this file");
+        }
+        if (deletion == Store.Deletion.NO_SUCH_FILE) {
+            throw BatchApiException.notFound("file: " + file.getId());
         }
         sendJson(
                 response,
--- a/src/main/java/larchridge/messages/MessagesEndpoint.java
+++ b/src/main/java/larchridge/messages/MessagesEndpoint.java
@@ -56,23 +56,24 @@
         response.putHeader("request-id", id);
         boolean countOnly = request.path().equals("/v1/messages/count_tokens");
         if (!countOnly && !request.path().equals("/v1/messages")) {
-            sendError(request, id, ApiException.notFound("no such path: " + request.path()), -1);
+            ErrorResponses.send(
+                    request, id, ApiException.notFound("no such path: " + request.path()), -1);
             return;
         }
         if (!request.method().equals(HttpMethod.POST)) {
             response.putHeader("allow", "POST");
-            sendError(request, id, ApiException.methodNotAllowed("expected POST"), -1);
+            ErrorResponses.send(request, id, ApiException.methodNotAllowed("expected POST"), -1);
             return;
         }
         Site.Tenant tenant;
         try {
             tenant = authenticate(request);
         } catch (ApiException error) {
-            sendError(request, id, error, -1);
+            ErrorResponses.send(request, id, error, -1);
             return;
         }
         if (!router.tryAdmitExchange()) {
-            sendError(
+            ErrorResponses.send(
                     request,
                     id,
                     ApiException.overloaded(
@@ -104,39 +105,6 @@
         return tenant;
     }
 
-    /**
-     * Sends an error response. The rest of a short body is drained. After a longer one, or one of
-     * unknown length, an HTTP/1 connection is closed, since the body has not been read.
-     */
-    private static void sendError(
-            HttpServerRequest request, String id, ApiException error, int retryAfterS) {
-        HttpServerResponse response = request.response();
-        if (response.ended() || response.closed()) {
-            return;
-        }
-        if (retryAfterS >= 0) {
-            response.putHeader("retry-after", Integer.toString(retryAfterS));
-        }
-        long length = contentLength(request);
-        if (length > 0 && length <= 64 << 10 && error.status != 413) {
-            request.resume();
-        } else if (length != 0 && request.version() != io.vertx.core.http.HttpVersion.HTTP_2) {
-            response.putHeader("connection", "close");
-        }
-        response.setStatusCode(error.status)
-                .putHeader("content-type", "application/json")
-                .end(MessageEvents.error(error, id).toString());
-    }
-
-    private static long contentLength(HttpServerRequest request) {
-        String length = request.getHeader("content-length");
-        try {
-            return length == null ? -1 : Long.parseLong(length);
-        } catch (NumberFormatException e) {
-            return -1;
-        }
-    }
-
     /** One exchange, until its response has been written or its connection is closed. */
     private final class Exchange {
         private final HttpServerRequest request;
@@ -170,7 +138,7 @@
             request.response().endHandler(ended -> finish());
             request.response().exceptionHandler(e -> finish());
             request.exceptionHandler(e -> finish());
-            if (contentLength(request) > limits.maxBodyBytes) {
+            if (ErrorResponses.contentLength(request) > limits.maxBodyBytes) {
                 fail(ApiException.tooLarge("body: over " + limits.maxBodyBytes + " bytes"));
                 return;
             }
@@ -378,7 +346,7 @@
             if (timer >= 0) {
                 router.vertx().cancelTimer(timer);
             }
-            sendError(request, id, error, -1);
+            ErrorResponses.send(request, id, error, -1);
         }
 
         private void finish() {
