--- a/review/stand-ins-2/Client.java
+++ b/review/stand-ins-2/Client.java
@@ -43,7 +43,7 @@
     }
 
     /** An answer as the client has seen it. */
-    record Answer(int status, String text, double firstMs, double endMs, boolean whole) {}
+    record Answer(int status, Message head, String text, double firstMs, double endMs, boolean whole) {}
 
     /** Reads the next answer: up to its last chunk, or to the end of the connection. */
     Answer readAnswer() throws IOException {
@@ -55,7 +55,7 @@
         if (!head.isChunked()) {
             String length = head.header("content-length");
             byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
-            return new Answer(head.status(), new String(body, StandardCharsets.UTF_8), firstMs, Kit.nowMs(), true);
+            return new Answer(head.status(), head, new String(body, StandardCharsets.UTF_8), firstMs, Kit.nowMs(), true);
         }
         StringBuilder text = new StringBuilder();
         try {
@@ -66,9 +66,9 @@
                 text.append(new String(chunk, StandardCharsets.UTF_8));
             }
         } catch (IOException e) {
-            return new Answer(head.status(), text.toString(), firstMs, Kit.nowMs(), false);
+            return new Answer(head.status(), head, text.toString(), firstMs, Kit.nowMs(), false);
         }
-        return new Answer(head.status(), text.toString(), firstMs, Kit.nowMs(), true);
+        return new Answer(head.status(), head, text.toString(), firstMs, Kit.nowMs(), true);
     }
 
     @Override
